--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/ControlState.kt
@@ -0,0 +1,68 @@
+package boragelever.core.control
+
+import boragelever.core.Incarnation
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.ZoneName
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.ConfigId
+import boragelever.core.config.Configuration
+import boragelever.core.routing.RoutingSnapshot
+
+/** Settings of a node that the control state needs; fixed for the life of the process. */
+public data class NodeIdentity(
+    public val node: NodeId,
+    public val region: RegionName,
+    public val zone: ZoneName,
+    public val peerAddress: NetworkAddress,
+    public val callAddress: NetworkAddress,
+    /** Incarnation at start; wall-clock seconds make it grow over restarts. */
+    public val incarnation: Incarnation,
+    /** Addresses to contact when the store cannot name any peer. */
+    public val seeds: List<NetworkAddress> = emptyList(),
+    /** Wall-clock time minus monotonic time, used only for times that operators read and row ages. */
+    public val epochOffsetMillis: Long = 0,
+)
+
+/** A configuration in force. */
+public data class AppliedConfig(
+    public val id: ConfigId,
+    public val document: ConfigDocument,
+    public val configuration: Configuration,
+)
+
+/** Whole control state of a node. Owned by the control thread. */
+public data class ControlState(
+    public val identity: NodeIdentity,
+    public val lifecycle: LifecycleState = LifecycleState.Starting,
+    public val applied: AppliedConfig? = null,
+    public val store: StoreState = StoreState(),
+    public val lease: LeaseState = LeaseState(),
+    public val publisher: PublisherState = PublisherState(),
+    public val members: MembershipState = MembershipState(),
+    public val discovery: DiscoveryState = DiscoveryState(),
+    public val dissemination: DisseminationState = DisseminationState(),
+    public val quarantine: QuarantineState = QuarantineState(),
+    public val snapshot: RoutingSnapshot? = null,
+    /** Number of the last request issued. */
+    public val lastRequest: Long = 0,
+    /** Time of the last tick, or `null` before the first; a gap tells that the process was paused. */
+    public val lastTickMillis: Long? = null,
+)
+
+/** Life of the process. */
+public sealed interface LifecycleState {
+    public data object Starting : LifecycleState
+
+    public data object Running : LifecycleState
+
+    /** No new work is taken; the process exits once no call is in flight. */
+    public data class Draining(public val sinceMillis: Long) : LifecycleState
+}
+
+/** Returns the state with a fresh request id for [owner]. */
+internal fun ControlState.nextRequest(owner: RequestOwner): Pair<ControlState, RequestId> {
+    val request = RequestId(owner, lastRequest + 1)
+    return copy(lastRequest = request.number) to request
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/Effect.kt
@@ -0,0 +1,52 @@
+package boragelever.core.control
+
+import boragelever.core.ConfigVersion
+import boragelever.core.FileName
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.config.ConfigDocument
+import boragelever.core.routing.RoutingSnapshot
+import boragelever.core.store.StoreCommand
+
+/** Something that the runtime does on behalf of the control state. */
+public sealed interface Effect {
+    /** Executes [command] and sends [Event.StoreAnswered] with the same [request]. */
+    public data class CallStore(public val request: RequestId, public val command: StoreCommand) : Effect
+
+    /** Lists the operators' folder and sends [Event.FolderAnswered]. */
+    public data class ListFolder(public val request: RequestId) : Effect
+
+    /** Reads files of the operators' folder and sends [Event.FolderAnswered]. */
+    public data class ReadFolder(public val request: RequestId, public val names: List<FileName>) : Effect
+
+    /** Merges and validates [files] and sends [Event.FolderMerged]. */
+    public data class MergeFolder(public val request: RequestId, public val files: List<FolderFile>) : Effect
+
+    /** Decodes [document] and sends [Event.DocumentCompiled]. */
+    public data class CompileDocument(
+        public val version: ConfigVersion,
+        public val document: ConfigDocument,
+    ) : Effect
+
+    /** Replaces the snapshot that the traffic threads read. */
+    public data class InstallSnapshot(public val snapshot: RoutingSnapshot) : Effect
+
+    /** Sends [message], opening a connection to [address] if there is none. */
+    public data class SendToPeer(
+        public val peer: NodeId,
+        public val address: NetworkAddress,
+        public val message: PeerMessage,
+    ) : Effect
+
+    /** Opens a connection to an address whose node is not known yet; [Event.PeerConnected] tells who answered. */
+    public data class ContactAddress(public val address: NetworkAddress) : Effect
+
+    /** Closes the connection to a peer. */
+    public data class ClosePeer(public val peer: NodeId) : Effect
+
+    /** Logs and counts a notice. */
+    public data class Report(public val notice: Notice) : Effect
+
+    /** Ends the process. */
+    public data object Exit : Effect
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/Member.kt
@@ -0,0 +1,66 @@
+package boragelever.core.control
+
+import boragelever.core.Incarnation
+import boragelever.core.InstanceId
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.ServiceName
+import boragelever.core.ZoneName
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What a node tells the others about itself and its upstreams. The higher (incarnation, sequence) wins. */
+@Serializable
+public data class MemberRecord(
+    public val node: NodeId,
+    public val incarnation: Incarnation,
+    public val sequence: Long,
+    public val region: RegionName,
+    public val zone: ZoneName,
+    /** Where other nodes open control connections. */
+    public val peerAddress: NetworkAddress,
+    /** Where other nodes send calls for this node's upstreams. */
+    public val callAddress: NetworkAddress,
+    public val upstreams: List<UpstreamRecord> = emptyList(),
+    /** True once the node is stopping; it takes no new work. */
+    public val leaving: Boolean = false,
+)
+
+/** One upstream beside a node. */
+@Serializable
+public data class UpstreamRecord(
+    public val service: ServiceName,
+    public val instance: InstanceId,
+    /** Where the co-located node reaches the upstream. */
+    public val address: NetworkAddress,
+    /** Number of requests that the instance runs at a time. */
+    public val slots: Int,
+    /** Number of connections that the instance accepts. */
+    public val connections: Int,
+    public val state: UpstreamState,
+)
+
+/** State that an upstream announces. */
+@Serializable
+public enum class UpstreamState {
+    @SerialName("starting")
+    STARTING,
+
+    @SerialName("serving")
+    SERVING,
+
+    @SerialName("draining")
+    DRAINING,
+}
+
+/** Position of a record in the order in which records of one node replace each other. */
+@Serializable
+public data class RecordVersion(public val incarnation: Incarnation, public val sequence: Long) :
+    Comparable<RecordVersion> {
+    override fun compareTo(other: RecordVersion): Int =
+        compareValuesBy(this, other, RecordVersion::incarnation, RecordVersion::sequence)
+}
+
+/** Position of this record. */
+public val MemberRecord.version: RecordVersion get() = RecordVersion(incarnation, sequence)
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/PeerMessage.kt
@@ -0,0 +1,156 @@
+package boragelever.core.control
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Fingerprint
+import boragelever.core.Incarnation
+import boragelever.core.NodeId
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.ConfigId
+import boragelever.core.config.DocumentDelta
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A message between nodes. New fields need a default, so that adjacent program versions understand each other. */
+@Serializable
+public sealed interface PeerMessage {
+    /** Asks the receiver for a sign of life and tells what the sender holds. */
+    @Serializable
+    @SerialName("hb")
+    public data class Heartbeat(
+        public val number: Long,
+        public val config: ConfigId?,
+        public val membersDigest: Long,
+    ) : PeerMessage
+
+    /** Answers a [Heartbeat] with the same [number]. */
+    @Serializable
+    @SerialName("hb-ack")
+    public data class HeartbeatAck(
+        public val number: Long,
+        public val config: ConfigId?,
+        public val membersDigest: Long,
+    ) : PeerMessage
+
+    /** Carries a configuration and the part of the tree that the receiver forwards it to. */
+    @Serializable
+    @SerialName("cfg")
+    public data class ConfigPush(
+        public val id: ConfigId,
+        public val body: ConfigBody,
+        public val scope: TreeScope,
+    ) : PeerMessage
+
+    /** Tells which configuration the sender holds after a push. */
+    @Serializable
+    @SerialName("cfg-ack")
+    public data class ConfigAck(public val held: ConfigId?) : PeerMessage
+
+    /** Asks for a newer configuration than [held]; answered by a [ConfigPush] with scope [TreeScope.SELF]. */
+    @Serializable
+    @SerialName("cfg-pull")
+    public data class ConfigPull(public val held: ConfigId?) : PeerMessage
+
+    /** Carries changed member records down the tree. */
+    @Serializable
+    @SerialName("mem")
+    public data class MemberUpdate(
+        public val number: Long,
+        public val records: List<MemberStatusRecord>,
+        public val scope: TreeScope,
+    ) : PeerMessage
+
+    /** Acknowledges the [MemberUpdate] with the same [number]. */
+    @Serializable
+    @SerialName("mem-ack")
+    public data class MemberAck(public val number: Long) : PeerMessage
+
+    /** Lists what the sender knows, so that the receiver finds the differences. */
+    @Serializable
+    @SerialName("mem-sum")
+    public data class MemberSummary(public val entries: List<MemberSummaryEntry>) : PeerMessage
+
+    /** Asks for the records of [nodes]; answered by a [MemberUpdate] with scope [TreeScope.SELF]. */
+    @Serializable
+    @SerialName("mem-pull")
+    public data class MemberPull(public val nodes: List<NodeId>) : PeerMessage
+
+    /** Tells that requests with a fingerprint crashed upstreams. */
+    @Serializable
+    @SerialName("quar")
+    public data class QuarantineUpdate(
+        public val number: Long,
+        public val deaths: List<FingerprintDeath>,
+        public val scope: TreeScope,
+    ) : PeerMessage
+}
+
+/** A whole document or the change against one that the receiver holds. */
+@Serializable
+public sealed interface ConfigBody {
+    @Serializable
+    @SerialName("full")
+    public data class Full(public val document: ConfigDocument) : ConfigBody
+
+    @Serializable
+    @SerialName("delta")
+    public data class Delta(public val delta: DocumentDelta) : ConfigBody
+}
+
+/** Part of the dissemination tree below the receiver of a push. */
+@Serializable
+public enum class TreeScope {
+    /** The receiver forwards to nobody. */
+    @SerialName("self")
+    SELF,
+
+    /** The receiver forwards to its children in its zone. */
+    @SerialName("zone")
+    ZONE,
+
+    /** The receiver forwards to the zone heads of its region. */
+    @SerialName("region")
+    REGION,
+
+    /** The receiver forwards to all regions. */
+    @SerialName("all")
+    ALL,
+}
+
+/** Liveness of a member as seen by the nodes that watch it. */
+@Serializable
+public enum class MemberStatus {
+    @SerialName("a")
+    ALIVE,
+
+    @SerialName("s")
+    SUSPECT,
+
+    @SerialName("d")
+    DEAD,
+}
+
+/** A record with its status. At the same record version the worse status wins. */
+@Serializable
+public data class MemberStatusRecord(public val record: MemberRecord, public val status: MemberStatus)
+
+/** What a node knows about one member, without the record itself. */
+@Serializable
+public data class MemberSummaryEntry(
+    public val node: NodeId,
+    public val incarnation: Incarnation,
+    public val sequence: Long,
+    public val status: MemberStatus,
+)
+
+/** One death of an upstream while it ran a request; counted once for each (fingerprint, node, number). */
+@Serializable
+public data class FingerprintDeath(
+    public val fingerprint: Fingerprint,
+    public val node: NodeId,
+    public val number: Long,
+    /** Time since the death when the message was sent, in milliseconds. */
+    public val ageMillis: Long,
+)
+
+/** Lowest version that a configuration must exceed to be applied after [applied]. */
+internal fun ConfigId?.versionOrNone(): ConfigVersion = this?.version ?: ConfigVersion.NONE
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
@@ -0,0 +1,78 @@
+package boragelever.core.routing
+
+import boragelever.core.Fingerprint
+import boragelever.core.InstanceId
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.RouteName
+import boragelever.core.ServiceName
+import boragelever.core.ZoneName
+import boragelever.core.config.ConfigId
+import boragelever.core.config.LimitsConfig
+import boragelever.core.config.RouteConfig
+import boragelever.core.config.ServiceConfig
+import boragelever.core.control.UpstreamRecord
+
+/**
+ * Everything that a traffic thread needs to carry a call; immutable and swapped as a whole.
+ *
+ * Each destination of each route is a key of [services].
+ */
+public data class RoutingSnapshot(
+    /** Configuration that the snapshot was compiled from. */
+    public val config: ConfigId,
+    public val node: NodeId,
+    /** Routes in the order in which they are tried: longest path prefix first. */
+    public val routes: List<CompiledRoute>,
+    public val services: Map<ServiceName, CompiledService>,
+    public val limits: LimitsConfig,
+    /** Upstreams beside this node by instance, in every announced state. */
+    public val localUpstreams: Map<InstanceId, UpstreamRecord> = emptyMap(),
+    /** Refused requests, with the monotonic time in milliseconds at which the refusal ends. */
+    public val quarantined: Map<Fingerprint, Long> = emptyMap(),
+    /** True once the node is stopping: it takes no new calls. */
+    public val draining: Boolean = false,
+)
+
+/** A route whose destinations are resolved. */
+public data class CompiledRoute(
+    public val name: RouteName,
+    public val config: RouteConfig,
+    public val destinations: List<Destination>,
+)
+
+/** One weighted target of a route. */
+public data class Destination(public val service: ServiceName, public val weight: Int)
+
+/** A service with its endpoints; an empty list means that calls are answered at once as not run. */
+public data class CompiledService(
+    public val name: ServiceName,
+    public val config: ServiceConfig,
+    public val endpoints: List<Endpoint>,
+)
+
+/** One instance of a service as seen from this node. Draining and starting instances are left out. */
+public data class Endpoint(
+    public val instance: InstanceId,
+    public val service: ServiceName,
+    /** Node beside the instance. */
+    public val node: NodeId,
+    /** Where that node takes calls for its upstreams. */
+    public val callAddress: NetworkAddress,
+    public val region: RegionName,
+    public val zone: ZoneName,
+    public val tier: LocalityTier,
+    public val slots: Int,
+    /** Monotonic time of this node in milliseconds at which the instance was first seen serving. */
+    public val servingSinceMillis: Long,
+    /** False while the node beside the instance is suspect: the endpoint is used last. */
+    public val trusted: Boolean = true,
+)
+
+/** Distance of an endpoint from the calling node, nearest first. */
+public enum class LocalityTier {
+    SAME_ZONE,
+    SAME_REGION,
+    OTHER_REGION,
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/store/ByteBlock.kt
@@ -0,0 +1,19 @@
+package boragelever.core.store
+
+/** Immutable bytes with equality by content. The array handed in must not be changed afterwards. */
+public class ByteBlock(private val bytes: ByteArray) {
+    /** Length in bytes. */
+    public val sizeBytes: Int get() = bytes.size
+
+    /** Returns a copy of the bytes. */
+    public fun toByteArray(): ByteArray = bytes.copyOf()
+
+    /** Decodes the bytes as UTF-8; malformed input becomes replacement characters. */
+    public fun decodeToString(): String = bytes.decodeToString()
+
+    override fun equals(other: Any?): Boolean = other is ByteBlock && bytes.contentEquals(other.bytes)
+
+    override fun hashCode(): Int = bytes.contentHashCode()
+
+    override fun toString(): String = "ByteBlock($sizeBytes bytes)"
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/store/RowValue.kt
@@ -0,0 +1,83 @@
+package boragelever.core.store
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Digest
+import boragelever.core.Epoch
+import boragelever.core.Incarnation
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.ZoneName
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Typed content of a row. */
+@Serializable
+public sealed interface RowValue {
+    /** Row `config/head`: names the accepted configuration. */
+    @Serializable
+    @SerialName("head")
+    public data class Head(
+        public val version: ConfigVersion,
+        public val epoch: Epoch,
+        public val digest: Digest,
+        public val document: ObjectKey,
+        public val publishedBy: NodeId,
+    ) : RowValue
+
+    /**
+     * Row `config/lease`: the publisher lease.
+     *
+     * The row holds a duration in place of an expiry time, so that clocks of different hosts are never compared:
+     * a challenger waits until it has seen no new revision for [durationMillis] on its own clock.
+     */
+    @Serializable
+    @SerialName("lease")
+    public data class Lease(
+        public val holder: NodeId,
+        public val epoch: Epoch,
+        public val durationMillis: Long,
+        public val renewals: Long = 0,
+    ) : RowValue
+
+    /** Row `config/status`: the last rejected folder, or no errors if the last folder was accepted. */
+    @Serializable
+    @SerialName("status")
+    public data class Status(
+        public val folderDigest: Digest,
+        public val errors: List<String>,
+        public val version: ConfigVersion,
+        public val reportedBy: NodeId,
+    ) : RowValue
+
+    /** Row `member/<node>`: where to reach a node at start-up. */
+    @Serializable
+    @SerialName("member")
+    public data class Member(
+        public val node: NodeId,
+        public val incarnation: Incarnation,
+        public val region: RegionName,
+        public val zone: ZoneName,
+        public val peerAddress: NetworkAddress,
+        public val renewedAtEpochMillis: Long,
+    ) : RowValue
+
+    /** Row `claim/<key>`: reserves the single run of a non-idempotent call. */
+    @Serializable
+    @SerialName("claim")
+    public data class Claim(
+        public val requestDigest: Digest,
+        public val claimedBy: NodeId,
+        public val claimedAtEpochMillis: Long,
+        public val answer: RecordedAnswer? = null,
+    ) : RowValue
+}
+
+/** Recorded answer of a claimed call; [body] names the stored body, or is `null` if the body was too large to keep. */
+@Serializable
+public data class RecordedAnswer(
+    public val statusCode: Int,
+    public val contentType: String? = null,
+    public val body: ObjectKey? = null,
+    public val bodySizeBytes: Long = 0,
+)
