--- a/core/src/main/kotlin/boragelever/core/store/StoreCommand.kt
+++ b/core/src/main/kotlin/boragelever/core/store/StoreCommand.kt
@@ -1,6 +1,7 @@
 package boragelever.core.store
 
 import boragelever.core.config.ConfigDocument
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Key of a row in the platform's table service. */
@@ -54,10 +55,12 @@
 
     /** The row does not exist. */
     @Serializable
+    @SerialName("absent")
     public data class Absent(override val key: RowKey) : RowCondition
 
     /** The row exists with exactly this revision. */
     @Serializable
+    @SerialName("revision_is")
     public data class RevisionIs(override val key: RowKey, public val revision: Revision) : RowCondition
 }
 
@@ -68,10 +71,12 @@
 
     /** Inserts or replaces the row. */
     @Serializable
+    @SerialName("put")
     public data class Put(override val key: RowKey, public val value: RowValue) : RowWrite
 
     /** Deletes the row; deleting an absent row is not an error. */
     @Serializable
+    @SerialName("delete")
     public data class Delete(override val key: RowKey) : RowWrite
 }
 
