--- /dev/null
+++ b/standin/src/main/kotlin/boragelever/standin/PlatformReducer.kt
@@ -0,0 +1,128 @@
+package boragelever.standin
+
+import boragelever.core.sha256
+import boragelever.core.store.ByteBlock
+import boragelever.core.store.EntityTag
+import boragelever.core.store.ObjectKey
+import boragelever.core.store.Row
+import boragelever.core.store.RowCondition
+import boragelever.core.store.RowWrite
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreCommand
+import boragelever.platform.documentAnswer
+import boragelever.platform.encodeDocument
+import boragelever.platform.isWrite
+import kotlin.random.Random
+
+/** Decides what the stand-in does with [request]. Pure: all effects are in the reply. */
+public fun reducePlatform(state: PlatformState, request: PlatformRequest): PlatformStep =
+    when (request) {
+        is PlatformRequest.Execute -> execute(state, request.command)
+        is PlatformRequest.SetFaults ->
+            PlatformStep(state.copy(faults = request.faults), PlatformReply.FaultsSet(request.faults))
+        is PlatformRequest.ReadCounts -> PlatformStep(state, PlatformReply.Counts(state.counts))
+    }
+
+private fun execute(state: PlatformState, command: StoreCommand): PlatformStep {
+    val counted = state.copy(counts = state.counts.count(command))
+    val faults = state.faults
+    return when {
+        faults.down -> PlatformStep(counted, PlatformReply.Broken(executed = false))
+        faults.refuse -> PlatformStep(counted, PlatformReply.Refused)
+        else -> reply(counted, command)
+    }
+}
+
+private fun reply(state: PlatformState, command: StoreCommand): PlatformStep {
+    val (executed, answer) = state.apply(command)
+    val answered = executed.copy(counts = executed.counts.count(answer))
+    val delayMillis = state.faults.delayMillis
+    return if (command.isWrite && state.losesAnswer()) {
+        val counts = answered.counts.copy(lostAnswers = answered.counts.lostAnswers + 1)
+        PlatformStep(answered.copy(counts = counts), PlatformReply.Broken(executed = true, delayMillis))
+    } else {
+        PlatformStep(answered, PlatformReply.Answered(answer, delayMillis))
+    }
+}
+
+private fun PlatformState.losesAnswer(): Boolean =
+    faults.lostAnswersPercent > 0 &&
+        Random(faults.seed * SEED_FACTOR + counts.writes).nextInt(PERCENT) < faults.lostAnswersPercent
+
+private fun PlatformState.apply(command: StoreCommand): Pair<PlatformState, StoreAnswer> =
+    when (command) {
+        is StoreCommand.ReadRows -> this to StoreAnswer.RowsRead(command.keys.mapNotNull { rows[it] })
+        is StoreCommand.ScanRows -> this to StoreAnswer.RowsRead(scan(command))
+        is StoreCommand.Transact -> transact(command)
+        is StoreCommand.ListObjects -> this to StoreAnswer.ObjectsListed(entries(command.prefix))
+        is StoreCommand.GetObject -> this to readObject(command.key)
+        is StoreCommand.GetDocument -> this to readDocument(command.key)
+        is StoreCommand.PutObject -> put(command.key, command.bytes)
+        is StoreCommand.PutDocument -> put(command.key, encodeDocument(command.document))
+        is StoreCommand.DeleteObject -> copy(objects = objects - command.key) to StoreAnswer.ObjectDeleted
+    }
+
+private fun PlatformState.scan(command: StoreCommand.ScanRows): List<Row> =
+    sortedRows()
+        .tailMap(command.prefix)
+        .asSequence()
+        .takeWhile { it.key.startsWith(command.prefix) }
+        .filter { (key, _) -> command.after.let { it == null || key > it.value } }
+        .take(command.limit)
+        .map { it.value }
+        .toList()
+
+private fun PlatformState.transact(command: StoreCommand.Transact): Pair<PlatformState, StoreAnswer> {
+    val holds = command.conditions.all { it.holds(this) }
+    if (!holds) return this to StoreAnswer.Conflicted(command.conditions.mapNotNull { rows[it.key] })
+    val next =
+        command.writes.fold(this) { state, write ->
+            when (write) {
+                is RowWrite.Delete -> state.copy(rows = state.rows - write.key)
+                is RowWrite.Put -> {
+                    val revision = state.nextRevision()
+                    val row = Row(write.key, write.value, revision, command.writeId)
+                    state.copy(rows = state.rows + (write.key to row), lastRevision = revision.value)
+                }
+            }
+        }
+    return next to StoreAnswer.Committed(command.writes.mapNotNull { next.rows[it.key] })
+}
+
+private fun RowCondition.holds(state: PlatformState): Boolean =
+    when (this) {
+        is RowCondition.Absent -> key !in state.rows
+        is RowCondition.RevisionIs -> state.rows[key]?.revision == revision
+    }
+
+private fun PlatformState.readObject(key: ObjectKey): StoreAnswer =
+    objects[key]?.let { StoreAnswer.ObjectRead(it.bytes, it.entityTag) } ?: StoreAnswer.ObjectMissing
+
+private fun PlatformState.readDocument(key: ObjectKey): StoreAnswer =
+    objects[key]?.let { documentAnswer(it.bytes) } ?: StoreAnswer.ObjectMissing
+
+private fun PlatformState.put(key: ObjectKey, bytes: ByteBlock): Pair<PlatformState, StoreAnswer> {
+    val entityTag = EntityTag("\"${sha256(bytes.toByteArray()).value.take(ENTITY_TAG_CHARS)}\"")
+    return copy(objects = objects + (key to StoredObject(bytes, entityTag))) to StoreAnswer.ObjectWritten(entityTag)
+}
+
+private fun PlatformCounts.count(command: StoreCommand): PlatformCounts =
+    if (command.isWrite) {
+        val size = (command as? StoreCommand.PutObject)?.bytes?.sizeBytes ?: 0
+        copy(writes = writes + 1, bytesWritten = bytesWritten + size)
+    } else {
+        copy(reads = reads + 1)
+    }
+
+private fun PlatformCounts.count(answer: StoreAnswer): PlatformCounts =
+    when (answer) {
+        is StoreAnswer.Conflicted -> copy(conflicts = conflicts + 1)
+        is StoreAnswer.ObjectRead -> copy(bytesRead = bytesRead + answer.bytes.sizeBytes)
+        else -> this
+    }
+
+private const val PERCENT = 100
+private const val ENTITY_TAG_CHARS = 32
+
+/** Spreads adjacent seeds over different sequences of lost answers. */
+private const val SEED_FACTOR = 1_000_003L
