Publish the folder under a fenced lease

A publish renews the lease row in the same transaction that moves the head, so one conditional write of the lease row is on its way at a time, and a holder that was paused past its expiry conflicts.

--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/ConfigReducer.kt
@@ -0,0 +1,110 @@
+package boragelever.core.control
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Stamp
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.ConfigId
+import boragelever.core.store.RowValue
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreCommand
+import boragelever.core.store.StoreKeys
+
+/** A document that is being compiled before it is applied. */
+public data class PendingConfig(public val id: ConfigId, public val document: ConfigDocument)
+
+/** Progress of reading the head and its document from the store. */
+public sealed interface HeadRead {
+    /** No read is on its way; the last one ended at [finishedMillis] and found [found]. */
+    public data class Idle(public val finishedMillis: Long? = null, public val found: ConfigId? = null) : HeadRead
+
+    /** The head row is being read. */
+    public data class Row(public val request: RequestId) : HeadRead
+
+    /** The document that [head] names is being read. */
+    public data class Document(public val request: RequestId, public val head: RowValue.Head) : HeadRead
+}
+
+internal fun reduceConfig(state: ControlState, event: Event): Transition =
+    when (event) {
+        is Event.DocumentCompiled -> state.documentCompiled(event.version, event.outcome)
+        is Event.StoreAnswered -> state.headAnswered(event)
+        else -> state.unchanged()
+    }
+
+/**
+ * Offers a configuration that a peer or the store delivered.
+ *
+ * It is compiled only if its version is higher than that of the applied one and of one being compiled, and if its
+ * digest matches; else the state stays as it is. It is applied once it compiled as a whole.
+ */
+internal fun ControlState.offerConfig(id: ConfigId, document: ConfigDocument): Transition =
+    when {
+        !wantsConfig(id) -> unchanged()
+        document.digest() != id.digest ->
+            with(report(Notice.ConfigRefused(id, listOf("The document doesn't match its digest; it is fetched again"))))
+        else -> copy(pendingConfig = PendingConfig(id, document)).with(Effect.CompileDocument(id.version, document))
+    }
+
+/** True if [id] is newer than all that this node applied, is compiling or has refused. */
+internal fun ControlState.wantsConfig(id: ConfigId): Boolean = id.version > knownVersion() && id != refusedConfig
+
+/** Highest version that this node applied or is compiling. */
+internal fun ControlState.knownVersion(): ConfigVersion = maxOf(
+    applied?.id.versionOrNone(),
+    pendingConfig?.id.versionOrNone(),
+)
+
+/** Reads the head row and, if it names a newer configuration, its document; does nothing while a read is on its way. */
+internal fun ControlState.readHead(): Transition {
+    if (headRead !is HeadRead.Idle || !admitsStoreCalls()) return unchanged()
+    val call = callStore(RequestOwner.CONFIG, StoreCommand.ReadRows(listOf(StoreKeys.HEAD)))
+    return call.send { copy(headRead = HeadRead.Row(call.request)) }
+}
+
+/** Reads the document of [head] unless this node has it or is reading one. */
+internal fun ControlState.fetchHeadDocument(head: RowValue.Head): Transition {
+    val wanted = wantsConfig(head.configId)
+    if (!wanted || headRead is HeadRead.Document) return unchanged()
+    val call = callStore(RequestOwner.CONFIG, StoreCommand.GetDocument(head.document))
+    return call.send { copy(headRead = HeadRead.Document(call.request, head)) }
+}
+
+/** Identity of the configuration that this head names. */
+internal val RowValue.Head.configId: ConfigId get() = ConfigId(version, digest)
+
+private fun ControlState.documentCompiled(version: ConfigVersion, outcome: CompileOutcome): Transition {
+    val pending = pendingConfig
+    if (pending?.id?.version != version) return unchanged()
+    val settled = copy(pendingConfig = null)
+    return when (outcome) {
+        is CompileOutcome.Compiled ->
+            settled
+                .copy(applied = AppliedConfig(pending.id, pending.document, outcome.configuration))
+                .with(report(Notice.ConfigApplied(pending.id)))
+        is CompileOutcome.Refused ->
+            settled.copy(refusedConfig = pending.id).with(report(Notice.ConfigRefused(pending.id, outcome.errors)))
+    }
+}
+
+private fun ControlState.headAnswered(event: Event.StoreAnswered): Transition =
+    when (val read = headRead) {
+        is HeadRead.Idle -> unchanged()
+        is HeadRead.Row -> answerTo(event, read.request) { headRowRead(it, event.stamp) }
+        is HeadRead.Document -> answerTo(event, read.request) { headDocumentRead(read.head, it, event.stamp) }
+    }
+
+private fun ControlState.headRowRead(answer: StoreAnswer, stamp: Stamp): Transition {
+    val rows = (answer as? StoreAnswer.RowsRead)?.rows.orEmpty()
+    val head = rows.row(StoreKeys.HEAD)?.value as? RowValue.Head
+    val finished = copy(headRead = HeadRead.Idle(stamp.nowMillis, head?.configId))
+    return if (head == null) finished.unchanged() else finished.fetchHeadDocument(head)
+}
+
+private fun ControlState.headDocumentRead(head: RowValue.Head, answer: StoreAnswer, stamp: Stamp): Transition {
+    val finished = copy(headRead = HeadRead.Idle(stamp.nowMillis, head.configId))
+    return if (answer is StoreAnswer.DocumentRead) {
+        finished.offerConfig(head.configId, answer.document)
+    } else {
+        finished.unchanged()
+    }
+}
--- a/core/src/main/kotlin/boragelever/core/control/ControlState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/ControlState.kt
@@ -23,6 +23,8 @@
     public val seeds: List<NetworkAddress> = emptyList(),
     /** Wall-clock time minus monotonic time, used only for times that operators read and row ages. */
     public val epochOffsetMillis: Long = 0,
+    /** Region of the platform's store, whose members publish first, or `null` if all regions are alike. */
+    public val storeRegion: RegionName? = null,
 )
 
 /** A configuration in force. */
@@ -37,8 +39,13 @@
     public val identity: NodeIdentity,
     public val lifecycle: LifecycleState = LifecycleState.Starting,
     public val applied: AppliedConfig? = null,
+    /** The configuration that is being compiled, or `null` if none is. */
+    public val pendingConfig: PendingConfig? = null,
+    /** The last configuration that this program version cannot apply. */
+    public val refusedConfig: ConfigId? = null,
+    public val headRead: HeadRead = HeadRead.Idle(),
     public val store: StoreState = StoreState(),
-    public val lease: LeaseState = LeaseState(),
+    public val lease: LeaseState = LeaseState.Observing(),
     public val publisher: PublisherState = PublisherState(),
     public val members: MembershipState = MembershipState(),
     public val discovery: DiscoveryState = DiscoveryState(),
--- a/core/src/main/kotlin/boragelever/core/control/Notice.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Notice.kt
@@ -28,6 +28,8 @@
 
     public data object StoreReachable : Notice
 
+    public data class StoreRefused(public val failure: StoreFailure.Invalid) : Notice
+
     public data class MemberChanged(public val node: NodeId, public val status: MemberStatus) : Notice
 
     public data class Quarantined(public val fingerprint: Fingerprint, public val deaths: Int) : Notice
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/PublisherScan.kt
@@ -0,0 +1,153 @@
+package boragelever.core.control
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Stamp
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.DisseminationProfile
+import boragelever.core.store.RowValue
+import boragelever.core.store.StoreKeys
+
+/** Lists, reads and lists the folder again, and has it merged if it stayed the same meanwhile. */
+internal fun reduceScan(state: ControlState, phase: PublisherPhase, event: Event): Transition =
+    when (phase) {
+        is PublisherPhase.Listing -> state.folderAnswer(event, phase.request) { state.listed(it, event.stamp) }
+        is PublisherPhase.ReadingFiles ->
+            state.folderAnswer(event, phase.request) { state.filesRead(phase, it, event.stamp) }
+        is PublisherPhase.ListingAgain ->
+            state.folderAnswer(event, phase.request) { state.listedAgain(phase, it, event.stamp) }
+        is PublisherPhase.Merging ->
+            if (event is Event.FolderMerged && event.request == phase.request) {
+                state.folderMerged(JudgedFolder(phase.entries, event.outcome), event.stamp)
+            } else {
+                state.unchanged()
+            }
+        else -> state.unchanged()
+    }
+
+/** Begins a scan. */
+internal fun ControlState.startScan(): Transition {
+    val (next, request) = nextRequest(RequestOwner.PUBLISHER)
+    return next.inPhase(PublisherPhase.Listing(request)).with(Effect.ListFolder(request))
+}
+
+private inline fun ControlState.folderAnswer(
+    event: Event,
+    request: RequestId,
+    handle: (FolderAnswer) -> Transition,
+): Transition =
+    if (event is Event.FolderAnswered && event.request == request) handle(event.answer) else unchanged()
+
+private fun ControlState.listed(answer: FolderAnswer, stamp: Stamp): Transition {
+    if (answer !is FolderAnswer.Listed) return folderUnreadable(answer, stamp)
+    val readable = copy(publisher = publisher.copy(unreadable = null))
+    val judged = publisher.judged
+    if (judged != null && judged.entries == answer.entries) return readable.settle(judged, stamp)
+    val changed = answer.entries.filter { publisher.files[it.name]?.entityTag != it.entityTag }
+    if (changed.isEmpty()) return readable.listAgain(answer.entries)
+    val (next, request) = readable.nextRequest(RequestOwner.PUBLISHER)
+    return next
+        .inPhase(PublisherPhase.ReadingFiles(request, answer.entries))
+        .with(Effect.ReadFolder(request, changed.map { it.name }))
+}
+
+private fun ControlState.filesRead(
+    phase: PublisherPhase.ReadingFiles,
+    answer: FolderAnswer,
+    stamp: Stamp,
+): Transition {
+    if (answer !is FolderAnswer.Read) return folderUnreadable(answer, stamp)
+    val known = publisher.files + answer.files.associateBy { it.name }
+    val files = known.filterKeys { name -> phase.entries.any { it.name == name } }
+    val complete = phase.entries.all { files[it.name]?.entityTag == it.entityTag }
+    val next = copy(publisher = publisher.copy(files = files))
+    return if (complete) next.listAgain(phase.entries) else next.rescan(stamp)
+}
+
+private fun ControlState.listAgain(entries: List<FolderEntry>): Transition {
+    val (next, request) = nextRequest(RequestOwner.PUBLISHER)
+    return next.inPhase(PublisherPhase.ListingAgain(request, entries)).with(Effect.ListFolder(request))
+}
+
+private fun ControlState.listedAgain(
+    phase: PublisherPhase.ListingAgain,
+    answer: FolderAnswer,
+    stamp: Stamp,
+): Transition {
+    if (answer !is FolderAnswer.Listed) return folderUnreadable(answer, stamp)
+    if (answer.entries != phase.entries) return rescan(stamp)
+    val (next, request) = nextRequest(RequestOwner.PUBLISHER)
+    val files = phase.entries.mapNotNull { publisher.files[it.name] }
+    return next.inPhase(PublisherPhase.Merging(request, phase.entries)).with(Effect.MergeFolder(request, files))
+}
+
+private fun ControlState.rescan(stamp: Stamp): Transition = waitForScan(stamp.nowMillis + RESCAN_MILLIS).unchanged()
+
+private fun ControlState.folderUnreadable(answer: FolderAnswer, stamp: Stamp): Transition {
+    val message = (answer as? FolderAnswer.Failed)?.message ?: "The folder gave an unexpected answer"
+    val failed = scanAfterFailure(stamp)
+    val next = failed.copy(publisher = failed.publisher.copy(unreadable = message))
+    return if (publisher.unreadable == null) next.with(report(Notice.FolderUnreadable(message))) else next.unchanged()
+}
+
+private fun ControlState.folderMerged(judged: JudgedFolder, stamp: Stamp): Transition {
+    val next = copy(publisher = publisher.copy(judged = judged))
+    val reported =
+        when (val outcome = judged.outcome) {
+            is MergeOutcome.Merged -> next.unchanged()
+            is MergeOutcome.Rejected -> next.with(report(Notice.FolderRejected(outcome.errors)))
+        }
+    return reported.andThen { it.settle(judged, stamp) }
+}
+
+/** Publishes or reports what a judged folder asks for, unless the shared rows already say so. */
+private fun ControlState.settle(judged: JudgedFolder, stamp: Stamp): Transition =
+    when (val outcome = judged.outcome) {
+        is MergeOutcome.Merged -> settleAccepted(judged, outcome.document, stamp)
+        is MergeOutcome.Rejected -> {
+            val status = statusOf(judged, outcome.errors)
+            val known = publisher.status
+            val told = known?.folderDigest == status.folderDigest && known.errors == status.errors
+            if (told) settled(stamp) else writeRows(PublishPlan(null, status), stamp)
+        }
+    }
+
+private fun ControlState.settleAccepted(judged: JudgedFolder, document: ConfigDocument, stamp: Stamp): Transition {
+    val head = publisher.head?.value as? RowValue.Head
+    val clears = publisher.status?.errors.orEmpty().isNotEmpty()
+    val status = if (clears) statusOf(judged, emptyList()) else null
+    val digest = document.digest()
+    return when {
+        head?.digest == digest && status == null -> settled(stamp)
+        head?.digest == digest -> writeRows(PublishPlan(null, status), stamp)
+        isBatching(stamp) -> batch(stamp)
+        else -> {
+            val version = ConfigVersion(maxOf(head?.version ?: ConfigVersion.NONE, knownVersion()).value + 1)
+            val epoch = (lease as LeaseState.Held).epoch
+            val value =
+                RowValue.Head(version, epoch, digest, StoreKeys.document(version, digest), identity.node)
+            writeDocument(PublishPlan(PlannedHead(value, document), status?.copy(version = version)))
+        }
+    }
+}
+
+private fun ControlState.settled(stamp: Stamp): Transition {
+    val next = copy(publisher = publisher.copy(failures = 0, batchUntilMillis = null))
+    return next.scanLater(stamp).unchanged()
+}
+
+private fun ControlState.statusOf(judged: JudgedFolder, errors: List<String>): RowValue.Status {
+    val version = (publisher.head?.value as? RowValue.Head)?.version ?: ConfigVersion.NONE
+    return RowValue.Status(judged.digest, errors, version, identity.node)
+}
+
+/** True while edits are to be gathered: the window is open or opens with this change. */
+private fun ControlState.isBatching(stamp: Stamp): Boolean {
+    val untilMillis = publisher.batchUntilMillis
+    return disseminationProfile == DisseminationProfile.BYTES && (untilMillis == null || stamp.nowMillis < untilMillis)
+}
+
+private fun ControlState.batch(stamp: Stamp): Transition {
+    val windowMillis = applied?.configuration?.dissemination?.batchWindowMillis ?: 0
+    val untilMillis = publisher.batchUntilMillis ?: (stamp.nowMillis + windowMillis)
+    return copy(publisher = publisher.copy(batchUntilMillis = untilMillis)).waitForScan(untilMillis).unchanged()
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/PublisherState.kt
@@ -0,0 +1,109 @@
+package boragelever.core.control
+
+import boragelever.core.Digest
+import boragelever.core.FileName
+import boragelever.core.config.ConfigDocument
+import boragelever.core.sha256
+import boragelever.core.store.ObjectKey
+import boragelever.core.store.Row
+import boragelever.core.store.RowValue
+import boragelever.core.store.WriteId
+
+/** State of the publisher. Only a holder of the lease leaves [PublisherPhase.Dormant]. */
+public data class PublisherState(
+    public val phase: PublisherPhase = PublisherPhase.Dormant,
+    /** Row of the head as last read or written by this holder. */
+    public val head: Row? = null,
+    /** Content of the status row as last read or written by this holder. */
+    public val status: RowValue.Status? = null,
+    /** Texts of the files as last read, so that only changed files are read again. */
+    public val files: Map<FileName, FolderFile> = emptyMap(),
+    /** The last folder that was merged. */
+    public val judged: JudgedFolder? = null,
+    /** End of the window in which edits are gathered, or `null` if none is open. */
+    public val batchUntilMillis: Long? = null,
+    /** Failures in a row; each lengthens the wait before the next scan. */
+    public val failures: Int = 0,
+    /** Why the folder could not be read the last time, or `null` if it could. */
+    public val unreadable: String? = null,
+)
+
+/** A merged folder. */
+public data class JudgedFolder(public val entries: List<FolderEntry>, public val outcome: MergeOutcome) {
+    /** Digest over the names and entity tags of the files. */
+    public val digest: Digest get() = sha256(entries.flatMap { listOf(it.name.value, it.entityTag.value) })
+}
+
+/** What the publisher waits for. */
+public sealed interface PublisherPhase {
+    /** This node does not hold the lease. */
+    public data object Dormant : PublisherPhase
+
+    /** Waits for the next scan at [nextScanMillis]; reads the shared rows first if [reload] is set. */
+    public data class Waiting(public val nextScanMillis: Long, public val reload: Boolean = false) : PublisherPhase
+
+    /** Head, status and lease rows are being read. */
+    public data class ReadingRows(public val request: RequestId) : PublisherPhase
+
+    /** The folder is being listed for the first time of a scan. */
+    public data class Listing(public val request: RequestId) : PublisherPhase
+
+    /** The changed files of [entries] are being read. */
+    public data class ReadingFiles(
+        public val request: RequestId,
+        public val entries: List<FolderEntry>,
+    ) : PublisherPhase
+
+    /** The folder is being listed again to see whether it stayed as [entries] while the files were read. */
+    public data class ListingAgain(
+        public val request: RequestId,
+        public val entries: List<FolderEntry>,
+    ) : PublisherPhase
+
+    /** The files of [entries] are being merged and validated. */
+    public data class Merging(
+        public val request: RequestId,
+        public val entries: List<FolderEntry>,
+    ) : PublisherPhase
+
+    /** The document object is being written. */
+    public data class WritingDocument(public val request: RequestId, public val plan: PublishPlan) : PublisherPhase
+
+    /** The transaction is ready; another write of the lease row is on its way. */
+    public data class AwaitingLease(public val plan: PublishPlan) : PublisherPhase
+
+    /** The transaction is on its way. */
+    public data class Transacting(
+        public val request: RequestId,
+        public val plan: PublishPlan,
+        public val writeId: WriteId,
+        public val sentMillis: Long,
+    ) : PublisherPhase
+
+    /** The answer of the transaction was lost; the rows are read back, by [request] or at [nextReadMillis]. */
+    public data class Confirming(
+        public val transacting: Transacting,
+        public val nextReadMillis: Long,
+        public val request: RequestId? = null,
+    ) : PublisherPhase
+
+    /** The documents are being listed, to delete old ones. */
+    public data class ListingDocuments(public val request: RequestId) : PublisherPhase
+
+    /** Old documents are being deleted, one after the other. */
+    public data class DeletingDocuments(
+        public val request: RequestId,
+        public val remaining: List<ObjectKey>,
+    ) : PublisherPhase
+}
+
+/** Rows that the publisher is about to write. */
+public data class PublishPlan(
+    /** New head with its document, or `null` if only the status changes. */
+    public val head: PlannedHead?,
+    /** New status row, or `null` to leave it. */
+    public val status: RowValue.Status?,
+)
+
+/** A head to be written and the document that it names. */
+public data class PlannedHead(public val value: RowValue.Head, public val document: ConfigDocument)
