Test publishing with whole sessions and golden files

A session drives the reducer of several nodes against one fake store on a controlled clock, checks that no version names two documents and that none goes back, and can be written as a golden file. Runs with random faults cover orders that no scenario names. After a read-back without effect the publisher now goes on from the rows just read instead of waiting for the back-off.

--- a/core/src/main/kotlin/boragelever/core/control/PublisherReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/PublisherReducer.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.Stamp
 import boragelever.core.config.DisseminationProfile
+import boragelever.core.store.Row
 import boragelever.core.store.RowValue
 import boragelever.core.store.StoreAnswer
 import boragelever.core.store.StoreCommand
@@ -88,9 +89,13 @@
 }
 
 private fun ControlState.rowsRead(answer: StoreAnswer, stamp: Stamp): Transition {
-    if (answer !is StoreAnswer.RowsRead) return scanAfterFailure(stamp).unchanged()
-    val row = answer.rows.row(StoreKeys.HEAD)
-    val status = answer.rows.row(StoreKeys.STATUS)?.value as? RowValue.Status
+    return if (answer is StoreAnswer.RowsRead) scanFrom(answer.rows, stamp) else scanAfterFailure(stamp).unchanged()
+}
+
+/** Takes note of the shared rows as just read, fetches a configuration that is new to this node, and scans at once. */
+internal fun ControlState.scanFrom(rows: List<Row>, stamp: Stamp): Transition {
+    val row = rows.row(StoreKeys.HEAD)
+    val status = rows.row(StoreKeys.STATUS)?.value as? RowValue.Status
     val read = copy(publisher = publisher.copy(head = row, status = status)).waitForScan(stamp.nowMillis)
     val head = row?.value as? RowValue.Head
     val fetched = if (head == null) read.unchanged() else read.fetchHeadDocument(head)
--- a/core/src/main/kotlin/boragelever/core/control/PublisherWrite.kt
+++ b/core/src/main/kotlin/boragelever/core/control/PublisherWrite.kt
@@ -113,16 +113,21 @@
     return if (tookEffect) {
         committed(lease, phase.transacting, answer.rows, stamp)
     } else {
-        overruled(lease, answer.rows, stamp)
+        overruled(lease, answer.rows, stamp) { scanFrom(answer.rows, stamp) }
     }
 }
 
-/** Takes note of rows that don't contain the write: starts over from the rows if the lease is still held. */
-private fun ControlState.overruled(lease: LeaseState.Held, rows: List<Row>, stamp: Stamp): Transition {
+/** Takes note of rows that don't contain the write: goes on with [startOver] if the lease is still held. */
+private inline fun ControlState.overruled(
+    lease: LeaseState.Held,
+    rows: List<Row>,
+    stamp: Stamp,
+    startOver: ControlState.() -> Transition = { scanAfterFailure(stamp).unchanged() },
+): Transition {
     val row = rows.row(StoreKeys.LEASE)
     val adopted = adoptLeaseRow(lease, row, stamp)
     return if (isOwnLease(row, lease.epoch)) {
-        adopted.andThen { it.scanAfterFailure(stamp).unchanged() }
+        adopted.andThen { it.startOver() }
     } else {
         val next = adopted.state.copy(publisher = PublisherState(files = publisher.files))
         Transition(next, listOf(report(Notice.PublishOverruled(lease.epoch))) + adopted.effects)
--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/FakeStore.kt
@@ -0,0 +1,80 @@
+package boragelever.core
+
+import boragelever.core.config.ConfigDocument
+import boragelever.core.store.ByteBlock
+import boragelever.core.store.EntityTag
+import boragelever.core.store.ObjectEntry
+import boragelever.core.store.ObjectKey
+import boragelever.core.store.Revision
+import boragelever.core.store.Row
+import boragelever.core.store.RowCondition
+import boragelever.core.store.RowKey
+import boragelever.core.store.RowWrite
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreCommand
+
+/** The platform's store as a pure function over commands. */
+data class FakeStore(
+    val rows: Map<RowKey, Row> = emptyMap(),
+    val documents: Map<ObjectKey, ConfigDocument> = emptyMap(),
+    val objects: Map<ObjectKey, ByteBlock> = emptyMap(),
+    val revision: Long = 0,
+) {
+    fun execute(command: StoreCommand): Pair<FakeStore, StoreAnswer> =
+        when (command) {
+            is StoreCommand.ReadRows -> this to StoreAnswer.RowsRead(command.keys.mapNotNull { rows[it] })
+            is StoreCommand.ScanRows -> this to StoreAnswer.RowsRead(scan(command))
+            is StoreCommand.Transact -> transact(command)
+            is StoreCommand.ListObjects -> this to StoreAnswer.ObjectsListed(list(command.prefix))
+            is StoreCommand.GetDocument ->
+                this to (documents[command.key]?.let { StoreAnswer.DocumentRead(it) } ?: StoreAnswer.ObjectMissing)
+            is StoreCommand.PutDocument ->
+                copy(documents = documents + (command.key to command.document)) to StoreAnswer.ObjectWritten(TAG)
+            is StoreCommand.GetObject ->
+                this to (objects[command.key]?.let { StoreAnswer.ObjectRead(it, TAG) } ?: StoreAnswer.ObjectMissing)
+            is StoreCommand.PutObject ->
+                copy(objects = objects + (command.key to command.bytes)) to StoreAnswer.ObjectWritten(TAG)
+            is StoreCommand.DeleteObject ->
+                copy(documents = documents - command.key, objects = objects - command.key) to StoreAnswer.ObjectDeleted
+        }
+
+    private fun list(prefix: String): List<ObjectEntry> =
+        (documents.keys + objects.keys)
+            .filter { it.value.startsWith(prefix) }
+            .sortedBy { it.value }
+            .map { ObjectEntry(it, TAG, 1) }
+
+    private fun scan(command: StoreCommand.ScanRows): List<Row> =
+        rows.values
+            .filter { it.key.value.startsWith(command.prefix) && it.key.value > command.after?.value.orEmpty() }
+            .sortedBy { it.key.value }
+            .take(command.limit)
+
+    private fun transact(command: StoreCommand.Transact): Pair<FakeStore, StoreAnswer> {
+        val holds =
+            command.conditions.all {
+                when (it) {
+                    is RowCondition.Absent -> it.key !in rows
+                    is RowCondition.RevisionIs -> rows[it.key]?.revision == it.revision
+                }
+            }
+        if (!holds) return this to StoreAnswer.Conflicted(command.conditions.mapNotNull { rows[it.key] })
+        val next =
+            command.writes.fold(this) { store, write ->
+                when (write) {
+                    is RowWrite.Delete -> store.copy(rows = store.rows - write.key)
+                    is RowWrite.Put -> store.put(write, command)
+                }
+            }
+        return next to StoreAnswer.Committed(command.writes.mapNotNull { next.rows[it.key] })
+    }
+
+    private fun put(write: RowWrite.Put, command: StoreCommand.Transact): FakeStore {
+        val row = Row(write.key, write.value, Revision(revision + 1), command.writeId)
+        return copy(rows = rows + (write.key to row), revision = revision + 1)
+    }
+
+    private companion object {
+        val TAG = EntityTag("tag")
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/GoldenSession.kt
@@ -0,0 +1,198 @@
+package boragelever.core
+
+import boragelever.core.control.ControlState
+import boragelever.core.control.Effect
+import boragelever.core.control.Event
+import boragelever.core.control.RequestOwner
+import boragelever.core.control.Transition
+import boragelever.core.store.Row
+import boragelever.core.store.RowCondition
+import boragelever.core.store.RowValue
+import boragelever.core.store.RowWrite
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreCommand
+import org.junit.jupiter.api.Assertions.assertEquals
+import java.nio.file.Path
+import kotlin.io.path.createDirectories
+import kotlin.io.path.exists
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+
+/** Sees what happens in a [Session]. */
+interface SessionObserver {
+    fun reduced(nowMillis: Long, node: NodeId, event: Event, before: ControlState, transition: Transition)
+
+    fun note(nowMillis: Long, text: String)
+
+    object None : SessionObserver {
+        override fun reduced(
+            nowMillis: Long,
+            node: NodeId,
+            event: Event,
+            before: ControlState,
+            transition: Transition,
+        ): Unit = Unit
+
+        override fun note(nowMillis: Long, text: String): Unit = Unit
+    }
+}
+
+/** Part of the control state that a golden file follows, so that other parts can change without touching the file. */
+class GoldenScope(
+    /** Owners whose requests are shown. */
+    val owners: Set<RequestOwner>,
+    /** Readable summary of the state. */
+    val summary: (ControlState) -> String,
+    /** Values whose text goes into the state digest. */
+    val concerns: (ControlState) -> List<Any?>,
+    /** Effects that are shown besides requests of [owners]. */
+    val shows: (Effect) -> Boolean = { false },
+)
+
+/**
+ * Writes a session as text: events with `<`, effects with `>`, the state with `=` and its digest.
+ *
+ * Ticks that change nothing in the scope are counted on one line. Requests and write ids are numbered in the order of
+ * their appearance, so that requests of other concerns don't renumber them.
+ */
+class GoldenSession(private val scope: GoldenScope) : SessionObserver {
+    private val lines = mutableListOf<String>()
+    private val names = mutableMapOf<String, String>()
+    private var quietTicks = 0
+
+    val text: String get() = lines.joinToString("\n", postfix = "\n")
+
+    override fun note(nowMillis: Long, text: String) {
+        flushQuiet()
+        lines += "${time(nowMillis)} -- $text"
+    }
+
+    override fun reduced(
+        nowMillis: Long,
+        node: NodeId,
+        event: Event,
+        before: ControlState,
+        transition: Transition,
+    ) {
+        val effects = transition.effects.filter(::isShown)
+        val unchanged = digest(before) == digest(transition.state)
+        if (effects.isEmpty() && unchanged && isBackground(event)) {
+            if (event is Event.Ticked) quietTicks++
+            return
+        }
+        flushQuiet()
+        lines += "${time(nowMillis)} $node < ${named(render(event))}"
+        effects.forEach { lines += "$INDENT$node > ${named(render(it))}" }
+        if (!unchanged) lines += "$INDENT$node = ${scope.summary(transition.state)} #${digest(transition.state)}"
+    }
+
+    /** Compares the text with `golden/<name>.txt`, or writes that file if `golden.update` is set. */
+    fun verify(name: String) {
+        flushQuiet()
+        val path = Path.of("src/test/resources/golden/$name.txt")
+        if (System.getProperty("golden.update") == "true") {
+            path.parent.createDirectories()
+            path.writeText(text)
+        }
+        check(path.exists()) { "$path is missing; run the tests with -Dgolden.update=true and review the file" }
+        assertEquals(path.readText(), text, "session $name; review and regenerate with -Dgolden.update=true")
+    }
+
+    private fun flushQuiet() {
+        if (quietTicks > 0) lines += "$INDENT.. $quietTicks quiet ticks"
+        quietTicks = 0
+    }
+
+    private fun isBackground(event: Event): Boolean =
+        when (event) {
+            is Event.Ticked -> true
+            is Event.StoreAnswered -> event.request.owner !in scope.owners
+            else -> false
+        }
+
+    private fun isShown(effect: Effect): Boolean =
+        when (effect) {
+            is Effect.CallStore -> effect.request.owner in scope.owners
+            else -> scope.shows(effect)
+        }
+
+    private fun digest(state: ControlState): String =
+        sha256(listOf(named(scope.concerns(state).toString()))).value.take(DIGEST_CHARS)
+
+    private fun named(text: String): String =
+        VOLATILE.replace(text) { match ->
+            names.getOrPut(match.value) {
+                val kind = match.value.substringBefore('#').takeIf { '#' in match.value } ?: "write"
+                "$kind#${names.values.count { it.startsWith("$kind#") } + 1}"
+            }
+        }
+
+    private companion object {
+        const val INDENT = "         "
+        const val DIGEST_CHARS = 8
+
+        /** Request ids such as `lease#12`, and write ids such as `n1/i1/12/1f`. */
+        val VOLATILE = Regex("""\b(lease|publisher|config|dissemination|membership)#\d+\b|\b\w+/i\d+/\d+/[0-9a-z]+\b""")
+
+        fun time(nowMillis: Long): String = nowMillis.toString().padStart(INDENT.length - 1)
+
+        fun render(event: Event): String =
+            when (event) {
+                is Event.Started -> "started"
+                is Event.Ticked -> "tick"
+                is Event.StoreAnswered -> "${event.request} ${render(event.answer)}"
+                is Event.FolderAnswered -> "${event.request} ${event.answer}"
+                is Event.FolderMerged -> "${event.request} ${event.outcome}"
+                is Event.DocumentCompiled -> "compiled ${event.version}: ${event.outcome::class.simpleName}"
+                else -> event.toString()
+            }
+
+        fun render(effect: Effect): String =
+            when (effect) {
+                is Effect.CallStore -> "${effect.request} ${render(effect.command)}"
+                is Effect.Report -> "report ${effect.notice}"
+                else -> effect.toString()
+            }
+
+        fun render(answer: StoreAnswer): String =
+            when (answer) {
+                is StoreAnswer.RowsRead -> "read ${rows(answer.rows)}"
+                is StoreAnswer.Committed -> "committed ${rows(answer.rows)}"
+                is StoreAnswer.Conflicted -> "conflict ${rows(answer.rows)}"
+                is StoreAnswer.StoreFailed -> "failed ${answer.failure}"
+                else -> answer.toString()
+            }
+
+        fun render(command: StoreCommand): String =
+            when (command) {
+                is StoreCommand.ReadRows -> "read ${command.keys.joinToString()}"
+                is StoreCommand.Transact ->
+                    "transact ${command.writeId} if ${command.conditions.joinToString(" and ") { render(it) }}: " +
+                        command.writes.joinToString { render(it) }
+                else -> command.toString()
+            }
+
+        fun rows(rows: List<Row>): String =
+            rows.joinToString(prefix = "[", postfix = "]") { "${render(it.value)} at ${it.revision} by ${it.writeId}" }
+
+        fun render(condition: RowCondition): String =
+            when (condition) {
+                is RowCondition.Absent -> "${condition.key} absent"
+                is RowCondition.RevisionIs -> "${condition.key} at ${condition.revision}"
+            }
+
+        fun render(write: RowWrite): String =
+            when (write) {
+                is RowWrite.Put -> "put ${render(write.value)}"
+                is RowWrite.Delete -> "delete ${write.key}"
+            }
+
+        fun render(value: RowValue): String =
+            when (value) {
+                is RowValue.Head -> "head ${value.version} ${value.epoch} ${value.digest.value.take(DIGEST_CHARS)}"
+                is RowValue.Lease -> "lease ${value.holder} ${value.epoch} ${value.durationMillis} ms"
+                is RowValue.Status -> "status ${value.version} ${value.errors}"
+                else -> value.toString()
+            }
+    }
+}
