Load, validate, compile and compare configuration folders

The publisher needs a folder as one validated document, and every node needs a received document as a typed configuration.

--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/config/ConfigurationDecoder.kt
@@ -0,0 +1,177 @@
+package boragelever.core.config
+
+import arrow.core.NonEmptyList
+import arrow.core.toNonEmptyListOrNull
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+
+/** What happens to keys that are not part of the schema. */
+public enum class UnknownKeys {
+    /** They are errors: the operators' folder is meant for this program version. */
+    REPORT,
+
+    /** They are ignored: a newer program version may have written the document. */
+    IGNORE,
+}
+
+/**
+ * Decodes a merged tree into a typed configuration.
+ *
+ * All errors are returned, in the order of files and lines.
+ */
+public fun decodeConfiguration(
+    node: ConfigNode,
+    unknownKeys: UnknownKeys = UnknownKeys.REPORT,
+): Result<Configuration, NonEmptyList<ConfigError>> {
+    val decoder = ConfigurationDecoder(unknownKeys, declaredServices(node))
+    val record = decoder.record(node, configurationSchema)
+    val errors = decoder.errors.sortedWith(compareBy({ it.location.file }, { it.location.line })).toNonEmptyListOrNull()
+    return when {
+        errors != null -> Err(errors)
+        else -> Ok(configurationSchema.build(checkNotNull(record)))
+    }
+}
+
+private fun declaredServices(node: ConfigNode): Set<String> {
+    val services = (node as? ConfigNode.MapNode)?.entries?.get("services") as? ConfigNode.MapNode
+    return services?.entries?.keys.orEmpty()
+}
+
+/** Checks a tree against the schema. Functions return `null` where they add to [errors]. */
+private class ConfigurationDecoder(private val unknownKeys: UnknownKeys, private val services: Set<String>) {
+    val errors: MutableList<ConfigError> = mutableListOf()
+
+    fun record(node: ConfigNode, schema: RecordSchema<*>): DecodedValue.Record? {
+        val map = map(node) ?: return null
+        val known = schema.fields.map { it.key }
+        if (unknownKeys == UnknownKeys.REPORT) {
+            val unknown = map.entries.filterKeys { it !in known }.values
+            unknown.forEach { errors += ConfigError.UnknownKey(it.location, known) }
+        }
+        schema.fields
+            .filter { it.default == FieldDefault.Required && it.key !in map.entries }
+            .forEach { errors += ConfigError.MissingKey(map.location, it.key) }
+        val values = schema.fields.mapNotNull { field ->
+            map.entries[field.key]?.let { value(it, field.type) }?.let { field.key to it }
+        }
+        return DecodedValue.Record(values.toMap())
+    }
+
+    private fun value(node: ConfigNode, type: FieldType): DecodedValue? =
+        when (type) {
+            is FieldType.Whole -> whole(node, type.range, type.unit)?.let(DecodedValue::Whole)
+            is FieldType.Flag -> flag(node)?.let(DecodedValue::Flag)
+            is FieldType.Text -> text(node, type.rule)?.let(DecodedValue::Text)
+            is FieldType.Choice -> choice(node, type.words)?.let(DecodedValue::Text)
+            is FieldType.TextSet -> textSet(node, type.rule)?.let(DecodedValue::Texts)
+            is FieldType.Section -> record(node, type.schema)
+            is FieldType.Table -> table(node, type.schema)
+            is FieldType.Weights -> weights(node, type.range)?.let(DecodedValue::Weights)
+        }
+
+    private fun whole(node: ConfigNode, range: LongRange, unit: String?): Long? {
+        val text = scalar(node, WHOLE_NUMBER) ?: return null
+        if (!wholeNumberPattern.matches(text)) {
+            errors += ConfigError.WrongType(node.location, WHOLE_NUMBER, "'$text'")
+            return null
+        }
+        val value = text.toLongOrNull()
+        if (value != null && value in range) return value
+        val unitText = unit?.let { " $it" }.orEmpty()
+        return impossible(node, "$text$unitText is out of range", "write ${range.first} to ${range.last}$unitText")
+    }
+
+    private fun flag(node: ConfigNode): Boolean? {
+        val text = scalar(node, FLAG) ?: return null
+        val value = text.toBooleanStrictOrNull()
+        if (value == null) errors += ConfigError.WrongType(node.location, FLAG, "'$text'")
+        return value
+    }
+
+    private fun text(node: ConfigNode, rule: TextRule): String? {
+        val text = scalar(node, rule.name) ?: return null
+        return if (rule.accepts(text)) text else impossible(node, "'$text' is not ${rule.name}", "write ${rule.form}")
+    }
+
+    private fun choice(node: ConfigNode, words: List<String>): String? {
+        val text = scalar(node, "one of ${words.joinToString(", ")}") ?: return null
+        return if (text in words) {
+            text
+        } else {
+            impossible(node, "'$text' is not a choice", "use one of ${words.joinToString(", ")}")
+        }
+    }
+
+    private fun textSet(node: ConfigNode, rule: TextRule): Set<String>? =
+        when (node) {
+            is ConfigNode.ListNode -> node.elements.mapNotNull { text(it, rule) }.toSet()
+            else -> wrongType(node, "a list")
+        }
+
+    private fun table(node: ConfigNode, schema: RecordSchema<*>): DecodedValue.Table? {
+        val map = map(node) ?: return null
+        val records = map.entries.mapNotNull { (name, value) ->
+            checkName(name, value)
+            record(value, schema)?.let { name to it }
+        }
+        return DecodedValue.Table(records.toMap())
+    }
+
+    private fun weights(node: ConfigNode, range: LongRange): Map<String, Int>? {
+        val map = map(node) ?: return null
+        if (map.entries.isEmpty()) return impossible(node, "there is no destination", "name at least one service")
+        val weights = map.entries.mapNotNull { (name, value) ->
+            if (name !in services) errors += ConfigError.DanglingReference(value.location, name, services.sorted())
+            whole(value, range, unit = null)?.let { name to it.toInt() }
+        }
+        val complete = weights.size == map.entries.size
+        if (complete && weights.all { (_, weight) -> weight == 0 }) {
+            return impossible(node, "the weights sum to 0", "give at least one service a weight of 1 or more")
+        }
+        return weights.toMap()
+    }
+
+    private fun checkName(name: String, value: ConfigNode) {
+        if (!nameRule.accepts(name)) impossible(value, "'$name' is not ${nameRule.name}", "write ${nameRule.form}")
+    }
+
+    private fun map(node: ConfigNode): ConfigNode.MapNode? =
+        when (node) {
+            is ConfigNode.MapNode -> node
+            else -> wrongType(node, "a map")
+        }
+
+    private fun scalar(node: ConfigNode, expected: String): String? =
+        when (node) {
+            is ConfigNode.ScalarNode -> node.text
+            else -> wrongType(node, expected)
+        }
+
+    private fun wrongType(node: ConfigNode, expected: String): Nothing? {
+        errors += ConfigError.WrongType(node.location, expected, node.describe())
+        return null
+    }
+
+    private fun impossible(node: ConfigNode, problem: String, remedy: String): Nothing? {
+        errors += ConfigError.ImpossibleValue(node.location, problem, remedy)
+        return null
+    }
+
+    private companion object {
+        const val WHOLE_NUMBER = "a whole number"
+        const val FLAG = "true or false"
+
+        /** One spelling for each number, so that equal configurations have equal digests. */
+        val wholeNumberPattern = Regex("0|-?[1-9][0-9]*")
+    }
+}
+
+/** Says in words what kind of value the node is. */
+public fun ConfigNode.describe(): String =
+    when (this) {
+        is ConfigNode.MapNode -> "a map"
+        is ConfigNode.ListNode -> "a list"
+        is ConfigNode.ScalarNode -> "'$text'"
+        is ConfigNode.NullNode -> "nothing"
+    }
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/config/RecordSchemaBuilder.kt
@@ -0,0 +1,102 @@
+package boragelever.core.config
+
+/** Collects the fields of a [RecordSchema] in the order in which they are declared. */
+internal class RecordSchemaBuilder {
+    val fields: MutableList<SchemaField<*>> = mutableListOf()
+
+    /** A time in milliseconds. */
+    fun millis(key: String, default: Long, range: LongRange, description: String): SchemaField<Long> =
+        long(key, FieldType.Whole(range, "ms"), default, description)
+
+    /** A size in bytes. */
+    fun bytes(key: String, default: Long, range: LongRange, description: String): SchemaField<Long> =
+        long(key, FieldType.Whole(range, "bytes"), default, description)
+
+    /** A percentage from 0 to 100. */
+    fun percent(key: String, default: Int, description: String): SchemaField<Int> =
+        int(key, FieldType.Whole(0L..100L, "%"), default, description)
+
+    /** A plain number that fits into an [Int]. */
+    fun count(key: String, default: Int, range: IntRange, description: String): SchemaField<Int> =
+        int(key, FieldType.Whole(range.first.toLong()..range.last.toLong(), null), default, description)
+
+    /** A size in bytes that fits into an [Int]. */
+    fun smallBytes(key: String, default: Int, range: IntRange, description: String): SchemaField<Int> =
+        int(key, FieldType.Whole(range.first.toLong()..range.last.toLong(), "bytes"), default, description)
+
+    fun flag(key: String, default: Boolean, description: String): SchemaField<Boolean> =
+        add(SchemaField(key, FieldType.Flag, FieldDefault.Value(default, "$default"), description) { it.flag() })
+
+    fun requiredText(key: String, rule: TextRule, description: String): SchemaField<String> =
+        add(SchemaField(key, FieldType.Text(rule), FieldDefault.Required, description) { it.text() })
+
+    /** A text that may be absent; [absent] says what its absence means. */
+    fun optionalText(key: String, rule: TextRule, absent: String, description: String): SchemaField<String?> =
+        add(SchemaField(key, FieldType.Text(rule), FieldDefault.Value(null, absent), description) { it.text() })
+
+    /** One of [choices], written in lower case. */
+    fun <E : Enum<E>> choice(key: String, default: E, choices: List<E>, description: String): SchemaField<E> {
+        val byWord = choices.associateBy { it.name.lowercase() }
+        val fallback = FieldDefault.Value(default, default.name.lowercase())
+        return add(
+            SchemaField(key, FieldType.Choice(byWord.keys.toList()), fallback, description) {
+                byWord.getValue(it.text())
+            },
+        )
+    }
+
+    fun textSet(key: String, rule: TextRule, default: Set<String>, description: String): SchemaField<Set<String>> {
+        val fallback = FieldDefault.Value(default, default.joinToString(", ", "[", "]"))
+        return add(SchemaField(key, FieldType.TextSet(rule), fallback, description) { it.texts() })
+    }
+
+    fun <T> section(key: String, schema: RecordSchema<T>, description: String): SchemaField<T> =
+        add(
+            SchemaField(key, FieldType.Section(schema), FieldDefault.Value(schema.empty, "{}"), description) {
+                schema.build(it as DecodedValue.Record)
+            },
+        )
+
+    fun <T> table(key: String, schema: RecordSchema<T>, description: String): SchemaField<Map<String, T>> =
+        add(
+            SchemaField(key, FieldType.Table(schema), FieldDefault.Value(emptyMap(), "{}"), description) {
+                (it as DecodedValue.Table).records.mapValues { (_, record) -> schema.build(record) }
+            },
+        )
+
+    fun requiredWeights(key: String, range: LongRange, description: String): SchemaField<Map<String, Int>> =
+        add(
+            SchemaField(key, FieldType.Weights(range), FieldDefault.Required, description) {
+                (it as DecodedValue.Weights).values
+            },
+        )
+
+    private fun long(key: String, type: FieldType, default: Long, description: String): SchemaField<Long> =
+        add(SchemaField(key, type, FieldDefault.Value(default, "$default"), description) { it.whole() })
+
+    private fun int(key: String, type: FieldType, default: Int, description: String): SchemaField<Int> =
+        add(SchemaField(key, type, FieldDefault.Value(default, "$default"), description) { it.whole().toInt() })
+
+    private fun <T> add(field: SchemaField<T>): SchemaField<T> = field.also { fields += it }
+}
+
+/** Declares the schema of the map whose defaults are those of [defaults]; [declare] returns the typed constructor. */
+internal fun <D, T> recordSchema(
+    defaults: D,
+    declare: RecordSchemaBuilder.(D) -> (DecodedValue.Record) -> T,
+): RecordSchema<T> {
+    val builder = RecordSchemaBuilder()
+    val build = builder.declare(defaults)
+    return RecordSchema(builder.fields, build)
+}
+
+/** Marks [build] as the typed constructor of a schema. */
+internal fun <T> building(build: (DecodedValue.Record) -> T): (DecodedValue.Record) -> T = build
+
+private fun DecodedValue.whole(): Long = (this as DecodedValue.Whole).value
+
+private fun DecodedValue.flag(): Boolean = (this as DecodedValue.Flag).value
+
+private fun DecodedValue.text(): String = (this as DecodedValue.Text).value
+
+private fun DecodedValue.texts(): Set<String> = (this as DecodedValue.Texts).values
--- /dev/null
+++ b/yaml/src/main/kotlin/boragelever/yaml/CanonicalJson.kt
@@ -0,0 +1,99 @@
+package boragelever.yaml
+
+import boragelever.core.FileName
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.ConfigError
+import boragelever.core.config.ConfigLocation
+import boragelever.core.config.ConfigNode
+import boragelever.core.config.EntryKey
+import boragelever.core.config.TOP_LEVEL_KEY
+import boragelever.core.config.child
+import boragelever.core.config.element
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+/** Sections whose entries are the named maps within them; any other section is one entry. */
+private val NAMED_SECTIONS = setOf("services", "routes")
+
+/** Returns the document of a merged tree. */
+internal fun toDocument(tree: ConfigNode.MapNode): ConfigDocument {
+    val entries = tree.entries.flatMap { (section, node) ->
+        if (section in NAMED_SECTIONS && node is ConfigNode.MapNode) {
+            node.entries.map { (name, value) -> EntryKey("$section/$name") to value }
+        } else {
+            listOf(EntryKey(section) to node)
+        }
+    }
+    return ConfigDocument(entries.associate { (key, node) -> key to canonicalText(node) }.toSortedMap())
+}
+
+/** Returns JSON without white space, with sorted keys. Equal configurations have equal texts. */
+internal fun canonicalText(node: ConfigNode): String = canonicalJson(node).toString()
+
+private fun canonicalJson(node: ConfigNode): JsonElement =
+    when (node) {
+        is ConfigNode.MapNode -> JsonObject(node.entries.toSortedMap().mapValues { (_, value) -> canonicalJson(value) })
+        is ConfigNode.ListNode -> JsonArray(node.elements.map(::canonicalJson))
+        is ConfigNode.ScalarNode -> canonicalScalar(node.text)
+        is ConfigNode.NullNode -> JsonNull
+    }
+
+/** Only a text that a JSON number or truth value reproduces exactly is written as one. */
+private fun canonicalScalar(text: String): JsonPrimitive {
+    val number = text.toLongOrNull()
+    return when {
+        number != null && number.toString() == text -> JsonPrimitive(number)
+        text == "true" || text == "false" -> JsonPrimitive(text == "true")
+        else -> JsonPrimitive(text)
+    }
+}
+
+/** Rebuilds the tree of a document. The place of an entry is its key in the document. */
+internal fun toTree(document: ConfigDocument): Result<ConfigNode.MapNode, List<ConfigError>> {
+    val errors = mutableListOf<ConfigError>()
+    val sections = sortedMapOf<String, ConfigNode>()
+    document.entries.toSortedMap().forEach { (key, text) ->
+        val top = ConfigLocation(FileName(key.value), line = 1, key = TOP_LEVEL_KEY)
+        val section = key.value.substringBefore('/')
+        val name = key.value.substringAfter('/', missingDelimiterValue = "")
+        val at = if (name.isEmpty()) top.child(section) else top.child(section).child(name)
+        val node = parseJson(text, at, errors) ?: return@forEach
+        sections[section] = if (name.isEmpty()) node else sections[section].plusNamed(top.child(section), name, node)
+    }
+    val top = ConfigLocation(FileName("document"), line = 1, key = TOP_LEVEL_KEY)
+    return if (errors.isEmpty()) Ok(ConfigNode.MapNode(top, sections)) else Err(errors)
+}
+
+private fun ConfigNode?.plusNamed(location: ConfigLocation, name: String, node: ConfigNode): ConfigNode {
+    val entries = (this as? ConfigNode.MapNode)?.entries.orEmpty()
+    return ConfigNode.MapNode(location, entries + (name to node))
+}
+
+private fun parseJson(text: String, location: ConfigLocation, errors: MutableList<ConfigError>): ConfigNode? =
+    try {
+        toNode(Json.parseToJsonElement(text), location)
+    } catch (_: SerializationException) {
+        errors += ConfigError.Malformed(location, "the entry is not JSON", "publish the configuration again")
+        null
+    }
+
+private fun toNode(json: JsonElement, location: ConfigLocation): ConfigNode =
+    when (json) {
+        is JsonObject ->
+            ConfigNode.MapNode(location, json.mapValues { (key, value) -> toNode(value, location.child(key)) })
+
+        is JsonArray ->
+            ConfigNode.ListNode(location, json.mapIndexed { index, item -> toNode(item, location.element(index)) })
+
+        is JsonNull -> ConfigNode.NullNode(location)
+
+        is JsonPrimitive -> ConfigNode.ScalarNode(location, json.content)
+    }
--- /dev/null
+++ b/yaml/src/main/kotlin/boragelever/yaml/EntryChange.kt
@@ -0,0 +1,33 @@
+package boragelever.yaml
+
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.EntryKey
+
+/** Difference between two documents in one entry; texts are canonical JSON. */
+public sealed interface EntryChange {
+    public val key: EntryKey
+
+    public data class Added(override val key: EntryKey, public val text: String) : EntryChange
+
+    public data class Removed(override val key: EntryKey, public val text: String) : EntryChange
+
+    public data class Changed(
+        override val key: EntryKey,
+        public val from: String,
+        public val to: String,
+    ) : EntryChange
+}
+
+/** Returns what turns [from] into [to], in the order of keys. */
+public fun diffDocuments(from: ConfigDocument, to: ConfigDocument): List<EntryChange> =
+    (from.entries.keys + to.entries.keys).sorted().mapNotNull { key ->
+        entryChange(key, from.entries[key], to.entries[key])
+    }
+
+private fun entryChange(key: EntryKey, from: String?, to: String?): EntryChange? =
+    when {
+        from == to -> null
+        from == null -> to?.let { EntryChange.Added(key, it) }
+        to == null -> EntryChange.Removed(key, from)
+        else -> EntryChange.Changed(key, from, to)
+    }
