Add the stand-in for an upstream

It announces itself to its node, counts runs by idempotency key, and can hang, flap, slow down, stall, misreport its load or crash on a marked request.

--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/control/StoreReducerTest.kt
@@ -0,0 +1,99 @@
+package boragelever.core.control
+
+import boragelever.core.Incarnation
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.Stamp
+import boragelever.core.ZoneName
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreFailure
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments
+import org.junit.jupiter.params.provider.Arguments.arguments
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.random.Random
+
+/** Guards against a fleet that overloads the store, above all when the store comes back. */
+class StoreReducerTest {
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("sequences")
+    fun `the breaker follows the answers`(
+        @Suppress("unused") name: String,
+        answers: String,
+        expected: String,
+    ) {
+        val end = answers.fold(STATE) { state, answer -> state.after(answer) }
+        val view = end.store.view::class.simpleName
+        val breaker = end.store.breaker::class.simpleName
+        assertEquals(expected, "$view $breaker ${end.admitsStoreCalls()}")
+    }
+
+    @Test
+    fun `waits spread over the whole interval and never exceed the cap`() {
+        val waits = (1L..2_000L).map { Stamp(0, it * 7_919).fullJitterMillis("x", attempt = 40, 500, 5_000) }
+        val tenths = waits.groupBy { it / 501 }
+        assertEquals((0L..9L).toSet(), tenths.keys)
+        assertTrue(tenths.values.all { it.size in 140..260 }, "uneven: ${tenths.mapValues { it.value.size }}")
+    }
+
+    @Test
+    fun `a fleet of a thousand nodes reads the lease row less than fifty times a second`() {
+        val members = (1..1_000).map { member("n$it", if (it % 2 == 0) "khomas" else "erongo") }
+        val ranks = members.map { leaseRank(it.node, members, RegionName("khomas")) }
+        assertEquals((0 until 1_000).toSet(), ranks.toSet())
+        val first = members.filterIndexed { index, _ -> ranks[index] < 3 }
+        assertTrue(first.all { it.region == RegionName("khomas") }, "candidates in the region of the store")
+        val random = Random(1)
+        val reads = ranks.sumOf { rank -> readsIn(WINDOW_MILLIS, rank, random) }
+        assertTrue(reads * 1_000 / WINDOW_MILLIS < 50, "$reads reads in $WINDOW_MILLIS ms")
+    }
+
+    private fun readsIn(windowMillis: Long, rank: Int, random: Random): Int =
+        generateSequence(0L) { it + leaseReadMillis(Stamp(it, random.nextLong()), rank) }
+            .takeWhile { it < windowMillis }
+            .count()
+
+    private fun ControlState.after(answer: Char): ControlState {
+        val stamp = Stamp(nowMillis = 0, seed = 5)
+        return when (answer) {
+            '.' -> reduceStore(this, Event.Ticked(stamp.copy(nowMillis = 60_000))).state
+            'p' -> callStore(RequestOwner.CONFIG, LEASE_ROWS).state
+            'k' -> answered(StoreAnswer.RowsRead(emptyList()), stamp)
+            'u' -> answered(StoreAnswer.StoreFailed(StoreFailure.Unavailable("")), stamp)
+            'l' -> answered(StoreAnswer.StoreFailed(StoreFailure.AnswerLost("")), stamp)
+            else -> answered(StoreAnswer.StoreFailed(StoreFailure.Invalid("")), stamp)
+        }
+    }
+
+    private fun ControlState.answered(answer: StoreAnswer, stamp: Stamp): ControlState =
+        reduceStore(this, Event.StoreAnswered(stamp, RequestId(RequestOwner.CONFIG, 1), answer)).state
+
+    private companion object {
+        const val WINDOW_MILLIS = 600_000L
+        val ADDRESS = NetworkAddress("127.0.0.1:1")
+        val STATE =
+            ControlState(NodeIdentity(NodeId("n1"), RegionName("r"), ZoneName("a"), ADDRESS, ADDRESS, Incarnation(1)))
+
+        fun member(node: String, region: String) =
+            MemberRecord(NodeId(node), Incarnation(1), 1, RegionName(region), ZoneName("a"), ADDRESS, ADDRESS)
+
+        /** `k` answer, `u` unavailable, `l` answer lost, `i` invalid, `.` a minute passes, `p` a command is sent. */
+        @JvmStatic
+        fun sequences(): List<Arguments> =
+            listOf(
+                arguments("no answer yet", "", "NeverReached Closed true"),
+                arguments("one lost answer", "kl", "Reachable Closed true"),
+                arguments("failures with answers between", "ukukuku", "Reachable Closed true"),
+                arguments("invalid data is an answer", "kuui", "Reachable Closed true"),
+                arguments("three failures", "kulu", "Unreachable Open false"),
+                arguments("a probe after the wait", "uuu.", "Unreachable HalfOpen true"),
+                arguments("one probe at a time", "uuu.p", "Unreachable HalfOpen false"),
+                arguments("the probe fails", "uuu.pu", "Unreachable Open false"),
+                arguments("the probe is answered", "uuu.pk", "Reachable Closed true"),
+            )
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/boragelever/standin/UpstreamReducer.kt
@@ -0,0 +1,249 @@
+package boragelever.standin
+
+import boragelever.core.IdempotencyKey
+import boragelever.core.InstanceId
+import boragelever.core.ServiceName
+import boragelever.core.control.UpstreamState
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Settings of an upstream stand-in. */
+public data class UpstreamSettings(
+    public val service: ServiceName,
+    public val instance: InstanceId,
+    /** Requests that run at a time; more are shed with 503. */
+    public val slots: Int = 9,
+    public val connections: Int = 130,
+    /** Time that each request runs, in milliseconds. */
+    public val serviceMillis: Long = 0,
+    /** Size of a download, in bytes. */
+    public val bodySizeBytes: Int = 65_536,
+    /** Time during which the instance announces that it is starting, in milliseconds. */
+    public val coldStartMillis: Long = 0,
+    /** Time after which a crashed instance comes back on the same port, in milliseconds; 0 for never. */
+    public val restartMillis: Long = 500,
+)
+
+/** How an upstream stand-in behaves. */
+@Serializable
+public sealed interface UpstreamMode {
+    /** Serves each request. */
+    @Serializable
+    @SerialName("normal")
+    public data object Normal : UpstreamMode
+
+    /** Accepts requests and never answers. */
+    @Serializable
+    @SerialName("hang")
+    public data object Hang : UpstreamMode
+
+    /** Serves for [periodMillis], then breaks connections for [periodMillis], and so on. */
+    @Serializable
+    @SerialName("flap")
+    public data class Flap(public val periodMillis: Long = 1_000) : UpstreamMode
+
+    /** Takes [extraMillis] longer for each request. */
+    @Serializable
+    @SerialName("slow")
+    public data class Slow(public val extraMillis: Long = 1_000) : UpstreamMode
+
+    /** Sends [afterBytes] of each body and then nothing more, with the connection left open. */
+    @Serializable
+    @SerialName("stall")
+    public data class Stall(public val afterBytes: Int = 1_024) : UpstreamMode
+
+    /** Reports [loadPercent] whatever the load is. */
+    @Serializable
+    @SerialName("lie")
+    public data class Lie(public val loadPercent: Int = 0) : UpstreamMode
+}
+
+/** State of an upstream stand-in. */
+public data class UpstreamStandInState(
+    public val settings: UpstreamSettings,
+    public val mode: UpstreamMode = UpstreamMode.Normal,
+    public val announced: UpstreamState = UpstreamState.SERVING,
+    public val running: Int = 0,
+    public val counts: UpstreamCounts = UpstreamCounts(),
+)
+
+/** What an upstream stand-in did since it was created; kept over crashes. */
+@Serializable
+public data class UpstreamCounts(
+    /** Requests that began to run. */
+    public val started: Long = 0,
+    public val shed: Long = 0,
+    public val crashes: Long = 0,
+    /** Largest number of requests that ran at the same time. */
+    public val maxRunning: Int = 0,
+    /** Number of runs by idempotency key. */
+    public val runsByKey: Map<IdempotencyKey, Int> = emptyMap(),
+)
+
+/** A request as the stand-in sees it. */
+public data class UpstreamRequest(
+    public val method: String,
+    /** Path with query. */
+    public val path: String,
+    public val idempotencyKey: IdempotencyKey? = null,
+    /** True if the request carries [CRASH_HEADER]. */
+    public val crashes: Boolean = false,
+    /** Value of the `Range` header. */
+    public val range: String? = null,
+    /** Value of the `If-Range` header. */
+    public val ifRange: String? = null,
+)
+
+/** Something that happens to an upstream stand-in. */
+public sealed interface UpstreamEvent {
+    /** A request arrived at [nowMillis]. */
+    public data class Arrived(public val request: UpstreamRequest, public val nowMillis: Long) : UpstreamEvent
+
+    /** A request that was told to run ended, whatever its outcome. */
+    public data object Ended : UpstreamEvent
+
+    /** The mode changes. */
+    public data class ModeSet(public val mode: UpstreamMode) : UpstreamEvent
+
+    /** The instance announces another state. */
+    public data class Announced(public val state: UpstreamState) : UpstreamEvent
+
+    /** The crashed instance came back; the requests that ran are gone. */
+    public data object Restarted : UpstreamEvent
+}
+
+/** What the stand-in does. */
+public sealed interface UpstreamReply {
+    /** Nothing is sent. */
+    public data object None : UpstreamReply
+
+    /** Runs for [delayMillis], then sends [body]. */
+    public data class Run(
+        public val body: UpstreamBody,
+        public val delayMillis: Long,
+        /** Load as reported in [LOAD_HEADER], in percent of the slots. */
+        public val loadPercent: Int,
+        /** Number of body bytes after which nothing more is sent, or `null` to send all. */
+        public val stallAfterBytes: Int? = null,
+    ) : UpstreamReply
+
+    /** Runs and never answers. */
+    public data object Hang : UpstreamReply
+
+    /** Refuses the request without running it. */
+    public data object Shed : UpstreamReply
+
+    /** Breaks the connection without running the request. */
+    public data object Break : UpstreamReply
+
+    /** Ends the instance with all its connections. */
+    public data object Crash : UpstreamReply
+}
+
+/** Body of an answer. */
+public sealed interface UpstreamBody {
+    /** Tells who ran which request. */
+    @Serializable
+    public data class Echo(
+        public val method: String,
+        public val path: String,
+        public val service: ServiceName,
+        public val instance: InstanceId,
+    ) : UpstreamBody
+
+    /** Bytes [first] to [last] of a download of [sizeBytes]; the content is the same on all instances. */
+    public data class Download(
+        public val first: Int,
+        public val last: Int,
+        public val sizeBytes: Int,
+    ) : UpstreamBody {
+        /** True if only a part was asked for. */
+        public val isPartial: Boolean get() = first > 0 || last < sizeBytes - 1
+
+        /** Strong entity tag; equal on all instances with the same size. */
+        public val entityTag: String get() = downloadTag(sizeBytes)
+
+        /** Content of the range. */
+        public fun bytes(): ByteArray = ByteArray(last - first + 1) { ((first + it) % CONTENT_PERIOD).toByte() }
+    }
+}
+
+/** The next state of an upstream stand-in and its reply. */
+public data class UpstreamStep(public val state: UpstreamStandInState, public val reply: UpstreamReply)
+
+/** Decides what an upstream stand-in does on [event]. Pure: all effects are in the reply. */
+public fun reduceUpstream(state: UpstreamStandInState, event: UpstreamEvent): UpstreamStep =
+    when (event) {
+        is UpstreamEvent.Arrived -> arrived(state, event.request, event.nowMillis)
+        is UpstreamEvent.Ended -> UpstreamStep(state.copy(running = maxOf(0, state.running - 1)), UpstreamReply.None)
+        is UpstreamEvent.ModeSet -> UpstreamStep(state.copy(mode = event.mode), UpstreamReply.None)
+        is UpstreamEvent.Announced -> UpstreamStep(state.copy(announced = event.state), UpstreamReply.None)
+        is UpstreamEvent.Restarted -> UpstreamStep(state.copy(running = 0), UpstreamReply.None)
+    }
+
+private fun arrived(state: UpstreamStandInState, request: UpstreamRequest, nowMillis: Long): UpstreamStep {
+    val mode = state.mode
+    return when {
+        mode is UpstreamMode.Flap && nowMillis / mode.periodMillis % 2 == 1L -> UpstreamStep(state, UpstreamReply.Break)
+        state.running >= state.settings.slots -> {
+            val counts = state.counts.copy(shed = state.counts.shed + 1)
+            UpstreamStep(state.copy(counts = counts), UpstreamReply.Shed)
+        }
+        request.crashes -> {
+            val counts = state.counts.run(request, state.running + 1)
+            UpstreamStep(state.copy(counts = counts.copy(crashes = counts.crashes + 1)), UpstreamReply.Crash)
+        }
+        else -> {
+            val next = state.copy(running = state.running + 1, counts = state.counts.run(request, state.running + 1))
+            UpstreamStep(next, next.run(request))
+        }
+    }
+}
+
+private fun UpstreamStandInState.run(request: UpstreamRequest): UpstreamReply {
+    val load = running * PERCENT / settings.slots
+    val reply = UpstreamReply.Run(bodyOf(request), settings.serviceMillis, load)
+    return when (mode) {
+        is UpstreamMode.Normal, is UpstreamMode.Flap -> reply
+        is UpstreamMode.Hang -> UpstreamReply.Hang
+        is UpstreamMode.Slow -> reply.copy(delayMillis = reply.delayMillis + mode.extraMillis)
+        is UpstreamMode.Stall -> reply.copy(stallAfterBytes = mode.afterBytes)
+        is UpstreamMode.Lie -> reply.copy(loadPercent = mode.loadPercent)
+    }
+}
+
+private fun UpstreamStandInState.bodyOf(request: UpstreamRequest): UpstreamBody {
+    if (!request.path.startsWith(DOWNLOAD_PATH)) {
+        return UpstreamBody.Echo(request.method, request.path, settings.service, settings.instance)
+    }
+    val size = settings.bodySizeBytes
+    val usable = request.ifRange == null || request.ifRange == downloadTag(size)
+    val range = if (usable) request.range?.let { RANGE.matchEntire(it) } else null
+    val first = range?.groupValues?.get(1)?.toIntOrNull() ?: 0
+    val last = range?.groupValues?.get(2)?.toIntOrNull() ?: (size - 1)
+    val valid = first <= last && last < size
+    return if (valid) UpstreamBody.Download(first, last, size) else UpstreamBody.Download(0, size - 1, size)
+}
+
+private fun UpstreamCounts.run(request: UpstreamRequest, running: Int): UpstreamCounts {
+    val key = request.idempotencyKey
+    val runs = if (key == null) runsByKey else runsByKey + (key to (runsByKey[key] ?: 0) + 1)
+    return copy(started = started + 1, maxRunning = maxOf(maxRunning, running), runsByKey = runs)
+}
+
+private fun downloadTag(sizeBytes: Int): String = "\"download-$sizeBytes\""
+
+/** Requests with this path prefix are answered with a download. */
+public const val DOWNLOAD_PATH: String = "/download"
+
+/** Request header that makes the instance crash while it runs the request. */
+public const val CRASH_HEADER: String = "x-standin-crash"
+
+/** Response header with the load in percent of the slots. */
+public const val LOAD_HEADER: String = "x-upstream-load"
+
+private val RANGE = Regex("""bytes=(\d+)-(\d*)""")
+private const val PERCENT = 100
+
+/** A prime, so that a shifted range never looks like the right one. */
+private const val CONTENT_PERIOD = 251
