--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/config/SchemaRow.kt
@@ -0,0 +1,74 @@
+package boragelever.core.config
+
+/** Description of one key of the configuration, for the reference documentation. */
+public data class SchemaRow(
+    /** Keys from the top level, joined by dots; `<name>` stands for a name that operators choose. */
+    public val path: String,
+    public val type: String,
+    public val unit: String,
+    public val range: String,
+    public val default: String,
+    public val meaning: String,
+) {
+    /** Returns the row as a line of a Markdown table. */
+    public fun markdown(): String = "| `$path` | $type | $unit | $range | $default | $meaning |"
+}
+
+/** Returns a row for each key of the schema, sections before the keys within them. */
+public fun schemaRows(): List<SchemaRow> = rows("", configurationSchema)
+
+private fun rows(prefix: String, schema: RecordSchema<*>): List<SchemaRow> =
+    schema.fields.flatMap { field -> listOf(row(prefix, field)) + rowsWithin("$prefix${field.key}", field.type) }
+
+private fun rowsWithin(path: String, type: FieldType): List<SchemaRow> =
+    when (type) {
+        is FieldType.Section -> rows("$path.", type.schema)
+
+        is FieldType.Table -> rows("$path.<name>.", type.schema)
+
+        is FieldType.Whole, is FieldType.Flag, is FieldType.Text, is FieldType.Choice, is FieldType.TextSet,
+        is FieldType.Weights,
+        -> emptyList()
+    }
+
+private fun row(prefix: String, field: SchemaField<*>): SchemaRow =
+    SchemaRow(
+        path = prefix + field.key,
+        type = typeText(field.type),
+        unit = (field.type as? FieldType.Whole)?.unit ?: NOTHING,
+        range = rangeText(field.type),
+        default = defaultText(field.default),
+        meaning = field.description,
+    )
+
+private fun typeText(type: FieldType): String =
+    when (type) {
+        is FieldType.Whole -> "whole number"
+        is FieldType.Flag -> "`true` or `false`"
+        is FieldType.Text -> "text"
+        is FieldType.Choice -> "word"
+        is FieldType.TextSet -> "list of texts"
+        is FieldType.Section -> "map"
+        is FieldType.Table -> "map by name"
+        is FieldType.Weights -> "map from service to whole number"
+    }
+
+private fun rangeText(type: FieldType): String =
+    when (type) {
+        is FieldType.Whole -> "${type.range.first} to ${type.range.last}"
+        is FieldType.Flag, is FieldType.Section -> NOTHING
+        is FieldType.Text -> type.rule.form
+        is FieldType.Choice -> type.words.joinToString(", ") { "`$it`" }
+        is FieldType.TextSet -> "each ${type.rule.form}"
+        is FieldType.Table -> "each name ${nameRule.form}"
+        is FieldType.Weights -> "each ${type.range.first} to ${type.range.last}, their sum above 0"
+    }
+
+private fun defaultText(default: FieldDefault<*>): String =
+    when (default) {
+        is FieldDefault.Required -> "required"
+        is FieldDefault.Value -> if (default.value == null) default.text else "`${default.text}`"
+    }
+
+/** Fills a column that does not apply. */
+private const val NOTHING = "-"
