Refuse hostile and ambiguous YAML with a located error; test tables

Trials showed that the parser let exceptions of its reader escape for control characters, gave the wrong line for a second document, honoured merge keys although aliases are refused, kept a byte order mark in the first key and reported a third duplicate key twice. Each now gives one error with file, line, key and remedy. Nesting is bounded, so that no later walk over a tree can exhaust the stack. Rendered errors are one line of bounded length.

The cases are tables in merges.txt and mistakes.txt.

--- a/core/src/main/kotlin/boragelever/core/config/ConfigError.kt
+++ b/core/src/main/kotlin/boragelever/core/config/ConfigError.kt
@@ -71,5 +71,11 @@
     }
 }
 
-/** Renders the error as one line: place, problem and remedy. */
-public fun ConfigError.render(): String = "$location: $problem; $remedy"
+/** Renders the error as one line of bounded length: place, problem and remedy. */
+public fun ConfigError.render(): String =
+    "$location: $problem; $remedy"
+        .map { if (it.isISOControl()) '?' else it }
+        .joinToString("", limit = MAX_RENDERED_CHARS)
+
+/** Errors are kept in a row and in logs, and quote names and values of any length. */
+private const val MAX_RENDERED_CHARS = 2_000
--- a/yaml/src/main/kotlin/boragelever/yaml/CanonicalJson.kt
+++ b/yaml/src/main/kotlin/boragelever/yaml/CanonicalJson.kt
@@ -79,21 +79,34 @@
 
 private fun parseJson(text: String, location: ConfigLocation, errors: MutableList<ConfigError>): ConfigNode? =
     try {
-        toNode(Json.parseToJsonElement(text), location)
+        JsonConversion(errors).node(Json.parseToJsonElement(text), location, depth = 0)
     } catch (_: SerializationException) {
         errors += ConfigError.Malformed(location, "the entry is not JSON", "publish the configuration again")
         null
     }
 
-private fun toNode(json: JsonElement, location: ConfigLocation): ConfigNode =
-    when (json) {
-        is JsonObject ->
-            ConfigNode.MapNode(location, json.mapValues { (key, value) -> toNode(value, location.child(key)) })
+/** Turns JSON into a [ConfigNode] tree; nesting is bounded, since a text may come from a peer. */
+private class JsonConversion(private val errors: MutableList<ConfigError>) {
+    fun node(json: JsonElement, location: ConfigLocation, depth: Int): ConfigNode =
+        when {
+            depth > MAX_DEPTH -> ConfigNode.NullNode(location).also { errors += tooDeep(location) }
+            else -> shallowNode(json, location, depth + 1)
+        }
 
-        is JsonArray ->
-            ConfigNode.ListNode(location, json.mapIndexed { index, item -> toNode(item, location.element(index)) })
+    private fun shallowNode(json: JsonElement, location: ConfigLocation, depth: Int): ConfigNode =
+        when (json) {
+            is JsonObject -> {
+                val entries = json.mapValues { (key, value) -> node(value, location.child(key), depth) }
+                ConfigNode.MapNode(location, entries)
+            }
 
-        is JsonNull -> ConfigNode.NullNode(location)
+            is JsonArray -> {
+                val elements = json.mapIndexed { index, item -> node(item, location.element(index), depth) }
+                ConfigNode.ListNode(location, elements)
+            }
 
-        is JsonPrimitive -> ConfigNode.ScalarNode(location, json.content)
-    }
+            is JsonNull -> ConfigNode.NullNode(location)
+
+            is JsonPrimitive -> ConfigNode.ScalarNode(location, json.content)
+        }
+}
--- a/yaml/src/main/kotlin/boragelever/yaml/YamlParser.kt
+++ b/yaml/src/main/kotlin/boragelever/yaml/YamlParser.kt
@@ -19,6 +19,7 @@
 import com.charleskorn.kaml.YamlNode
 import com.charleskorn.kaml.YamlNull
 import com.charleskorn.kaml.YamlPath
+import com.charleskorn.kaml.YamlPathSegment
 import com.charleskorn.kaml.YamlScalar
 import com.charleskorn.kaml.YamlTaggedNode
 
@@ -45,12 +46,16 @@
 
 /** Reports each duplicate key and goes on behind it, so that one mistake does not hide the next. */
 private fun parseText(name: FileName, text: String, errors: MutableList<ConfigError>): YamlNode? {
-    var attempt = attemptParse(name, text)
-    var passes = 1
-    while (attempt is ParseAttempt.Duplicate && passes < MAX_PASSES) {
+    secondDocumentLine(text)?.let { line ->
+        errors += secondDocument(ConfigLocation(name, line, TOP_LEVEL_KEY))
+        return null
+    }
+    var pass = 1
+    var attempt = attemptParse(name, text.removePrefix(BYTE_ORDER_MARK), pass)
+    while (attempt is ParseAttempt.Duplicate && pass < MAX_PASSES) {
         errors += attempt.error
-        attempt = attemptParse(name, attempt.marked)
-        passes++
+        pass++
+        attempt = attemptParse(name, attempt.marked, pass)
     }
     return when (attempt) {
         is ParseAttempt.Parsed -> attempt.node
@@ -69,34 +74,57 @@
     data class Failed(val error: ConfigError) : ParseAttempt
 }
 
-private fun attemptParse(name: FileName, text: String): ParseAttempt =
+private fun attemptParse(name: FileName, text: String, pass: Int): ParseAttempt =
     try {
         ParseAttempt.Parsed(Yaml.default.parseToYamlNode(text))
     } catch (_: EmptyYamlDocumentException) {
         ParseAttempt.Parsed(YamlNull(YamlPath.root))
     } catch (e: DuplicateKeyException) {
-        ParseAttempt.Duplicate(ConfigError.DuplicateKey(e.location(name)), text.withMarkedKey(e))
+        ParseAttempt.Duplicate(
+            ConfigError.DuplicateKey(e.location(name)),
+            text.withMarkedKey(e, DUPLICATE_MARK.repeat(pass)),
+        )
     } catch (e: YamlException) {
         ParseAttempt.Failed(e.toConfigError(name))
     } catch (_: StackOverflowError) {
         // The parser recurses once for each level of nesting.
-        ParseAttempt.Failed(tooDeep(name))
+        ParseAttempt.Failed(tooDeep(ConfigLocation(name, line = 1, key = TOP_LEVEL_KEY)))
+    } catch (e: RuntimeException) {
+        // The reader below the parser refuses characters and sizes with exceptions of its own, without a line.
+        ParseAttempt.Failed(unreadable(name, text, e))
     }
 
-private fun tooDeep(name: FileName): ConfigError =
-    ConfigError.Malformed(
-        location = ConfigLocation(name, line = 1, key = TOP_LEVEL_KEY),
-        problem = "the file is nested too deeply",
-        remedy = "close the open brackets",
+/**
+ * Returns the line of a document marker behind other content, which the parser reports without its line. A marker at
+ * the beginning of a line has this meaning everywhere, even within a quoted text.
+ */
+private fun secondDocumentLine(text: String): Int? {
+    val lines = text.lines()
+    val isMarker = { line: String -> line == "---" || line.startsWith("--- ") }
+    val content = lines.indexOfFirst { it.isNotBlank() && !it.startsWith('#') && !it.startsWith('%') }
+    val second = lines.withIndex().firstOrNull { (index, line) -> index > content && isMarker(line) }
+    return second?.let { it.index + 1 }
+}
+
+private fun secondDocument(location: ConfigLocation): ConfigError =
+    ConfigError.Malformed(location, "a second document begins", "move it into a file of its own")
+
+private fun unreadable(name: FileName, text: String, e: RuntimeException): ConfigError {
+    val line = text.lines().indexOfFirst { line -> line.any { it.isISOControl() && it != '\t' } } + 1
+    return ConfigError.Malformed(
+        location = ConfigLocation(name, line.coerceAtLeast(1), TOP_LEVEL_KEY),
+        problem = "the text cannot be read: ${e.message.orEmpty().oneLine()}",
+        remedy = "remove control characters and split files of several megabytes",
     )
+}
 
-/** Makes the duplicate key unique; [YamlConversion] drops the marked key. */
-private fun String.withMarkedKey(e: DuplicateKeyException): String {
+/** Makes the duplicate key unique with [mark]; [YamlConversion] drops the marked key. */
+private fun String.withMarkedKey(e: DuplicateKeyException, mark: String): String {
     val lines = lines().toMutableList()
     val line = lines[e.duplicateLocation.line - 1]
     val start = e.duplicateLocation.column - 1
     val insertAt = if (line.getOrNull(start) in QUOTES) start + 1 else start
-    lines[e.duplicateLocation.line - 1] = line.replaceRange(insertAt, insertAt, DUPLICATE_MARK)
+    lines[e.duplicateLocation.line - 1] = line.replaceRange(insertAt, insertAt, mark)
     return lines.joinToString("\n")
 }
 
@@ -108,46 +136,74 @@
         else -> ConfigError.Malformed(location(name), "not valid YAML: ${message.oneLine()}", "correct the syntax")
     }
 
-private fun YamlException.location(name: FileName): ConfigLocation =
-    ConfigLocation(name, line, path.toHumanReadableString().replace(DUPLICATE_MARK, "").ifEmpty { TOP_LEVEL_KEY })
+private fun YamlException.location(name: FileName): ConfigLocation {
+    val key = path.toHumanReadableString().replace(DUPLICATE_MARK, "")
+    return ConfigLocation(name, line, if (key in PARSER_TOP_LEVEL) TOP_LEVEL_KEY else key)
+}
 
-private fun String.oneLine(): String = lines().joinToString(" ") { it.trim() }.trim()
+/** Drops the excerpts of the file, which the parser indents, and joins the rest. */
+private fun String.oneLine(): String = lines().filterNot { it.startsWith("  ") }.joinToString(" ") { it.trim() }.trim()
 
 /** Turns the parser's tree into a [ConfigNode] tree and reports what the format allows but boragelever does not. */
 private class YamlConversion(private val errors: MutableList<ConfigError>) {
-    fun node(yaml: YamlNode, location: ConfigLocation): ConfigNode =
+    fun node(yaml: YamlNode, location: ConfigLocation, depth: Int = 0): ConfigNode =
+        when {
+            depth > MAX_DEPTH -> ConfigNode.NullNode(location).also { errors += tooDeep(location) }
+            else -> shallowNode(yaml, location, depth + 1)
+        }
+
+    private fun shallowNode(yaml: YamlNode, location: ConfigLocation, depth: Int): ConfigNode =
         when (yaml) {
-            is YamlMap -> map(yaml, location)
-            is YamlList -> list(yaml, location)
+            is YamlMap -> map(yaml, location, depth)
+            is YamlList -> list(yaml, location, depth)
             is YamlScalar -> ConfigNode.ScalarNode(location, yaml.content)
             is YamlNull -> ConfigNode.NullNode(location)
-            is YamlTaggedNode -> tagged(yaml, location)
+            is YamlTaggedNode -> tagged(yaml, location, depth)
         }
 
-    private fun map(yaml: YamlMap, location: ConfigLocation): ConfigNode {
+    private fun map(yaml: YamlMap, location: ConfigLocation, depth: Int): ConfigNode {
+        yaml.entries.keys.firstOrNull { it.isMerged() }?.let { merged ->
+            val at = location.copy(line = merged.location.line)
+            errors += ConfigError.Malformed(at, "the merge key '<<' is not supported", "write the keys out")
+        }
         val entries = yaml.entries.entries
             .filterNot { (key, _) -> key.content.startsWith(DUPLICATE_MARK) }
             .associate { (key, value) ->
-                key.content to node(value, location.child(key.content, key.location.line))
+                key.content to node(value, location.child(key.content, key.location.line), depth)
             }
         return ConfigNode.MapNode(location, entries)
     }
 
-    private fun list(yaml: YamlList, location: ConfigLocation): ConfigNode {
-        val elements = yaml.items.mapIndexed { index, item -> node(item, location.element(index, item.location.line)) }
+    private fun YamlScalar.isMerged(): Boolean = path.segments.any { it is YamlPathSegment.Merge }
+
+    private fun list(yaml: YamlList, location: ConfigLocation, depth: Int): ConfigNode {
+        val elements = yaml.items.mapIndexed { index, item ->
+            node(item, location.element(index, item.location.line), depth)
+        }
         return ConfigNode.ListNode(location, elements)
     }
 
-    private fun tagged(yaml: YamlTaggedNode, location: ConfigLocation): ConfigNode {
+    private fun tagged(yaml: YamlTaggedNode, location: ConfigLocation, depth: Int): ConfigNode {
         errors += ConfigError.Malformed(location, "the tag ${yaml.tag} is not supported", "write the value without tag")
-        return node(yaml.innerNode, location)
+        return node(yaml.innerNode, location, depth)
     }
 }
 
+internal fun tooDeep(location: ConfigLocation): ConfigError =
+    ConfigError.Malformed(location, "the value is nested too deeply", "close open brackets and remove levels")
+
+/** More levels than any schema has; bounds the recursion of everything that walks a tree. */
+internal const val MAX_DEPTH: Int = 32
+
 /** Bounds the passes over a file with duplicate keys. */
 private const val MAX_PASSES = 50
 
 /** A character from the private use area, which no key of the schema contains. */
 private const val DUPLICATE_MARK = "\uE000"
 
+private const val BYTE_ORDER_MARK = "\uFEFF"
+
+/** How the parser names the top level of a file. */
+private val PARSER_TOP_LEVEL = setOf("", "<root>")
+
 private val QUOTES = setOf('"', '\'')
--- /dev/null
+++ b/yaml/src/test/kotlin/boragelever/yaml/ConfigDocumentsTest.kt
@@ -0,0 +1,219 @@
+package boragelever.yaml
+
+import boragelever.core.Fingerprint
+import boragelever.core.RouteName
+import boragelever.core.ServiceName
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.Configuration
+import boragelever.core.config.CrossRegion
+import boragelever.core.config.DisseminationConfig
+import boragelever.core.config.DisseminationProfile
+import boragelever.core.config.EntryKey
+import boragelever.core.config.IdempotencyConfig
+import boragelever.core.config.LimitsConfig
+import boragelever.core.config.LocalityConfig
+import boragelever.core.config.OutlierConfig
+import boragelever.core.config.QuarantineConfig
+import boragelever.core.config.QueueConfig
+import boragelever.core.config.RetryConfig
+import boragelever.core.config.RouteConfig
+import boragelever.core.config.ServiceConfig
+import boragelever.core.config.schemaRows
+import boragelever.core.control.FolderFile
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments
+import org.junit.jupiter.params.provider.Arguments.arguments
+import org.junit.jupiter.params.provider.MethodSource
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** Guards against documents that lose settings, differ between equal folders, or fail on newer program versions. */
+class ConfigDocumentsTest {
+    @Test
+    fun `every key of the schema reaches its property`() {
+        val merged = loadFolder(folder(EVERY_KEY)).valid()
+
+        assertEquals(everyKeyDecoded, merged.configuration)
+        assertEquals(
+            emptyList<String>(),
+            schemaRows().map {
+                it.path.substringAfterLast('.')
+            }.filter { it !in EVERY_KEY },
+        )
+    }
+
+    @ParameterizedTest
+    @MethodSource("validFolders")
+    fun `a folder survives the document and the rendered text`(files: List<FolderFile>) {
+        val merged = loadFolder(files).valid()
+        val again = loadFolder(folder(renderYaml(merged.document).valid())).valid()
+
+        assertEquals(merged.configuration, compileDocument(merged.document).valid())
+        assertEquals(merged.document.digest(), again.document.digest())
+    }
+
+    @ParameterizedTest
+    @MethodSource("documents")
+    fun `a folder has canonical entries`(text: String, document: ConfigDocument) {
+        assertEquals(document, loadFolder(folder(text)).valid().document)
+    }
+
+    @ParameterizedTest
+    @MethodSource("received")
+    fun `a received document is compiled or refused`(document: ConfigDocument, errors: List<String>) {
+        assertEquals(errors, compileDocument(document).errorLines())
+    }
+
+    @Test
+    fun `a difference names each entry once`() {
+        val from = document("limits" to "{}", "services/a" to "{}", "services/b" to "{}")
+        val to = document("routes/r" to "{}", "services/a" to "{}", "services/b" to "1")
+
+        val expected = listOf(
+            EntryChange.Removed(EntryKey("limits"), "{}"),
+            EntryChange.Added(EntryKey("routes/r"), "{}"),
+            EntryChange.Changed(EntryKey("services/b"), from = "{}", to = "1"),
+        )
+        assertEquals(expected, diffDocuments(from, to))
+    }
+
+    @Test
+    fun `the examples express what their users need`() {
+        val kalahari = loadFolder(exampleFolder("kalahari")).valid().configuration
+        val lindqvist = loadFolder(exampleFolder("lindqvist")).valid().configuration
+
+        assertEquals(setOf("scanhub", "fitbook", "patternstore"), kalahari.services.keys.map { it.value }.toSet())
+        assertEquals(setOf("records", "decisions", "drafts"), lindqvist.services.keys.map { it.value }.toSet())
+        assertEquals(setOf("bookings", "payments"), kalahari.routesRequiringKey())
+        assertEquals(setOf("decisions"), lindqvist.routesRequiringKey())
+        assertEquals(DisseminationProfile.BYTES, kalahari.dissemination.profile)
+        assertEquals(DisseminationProfile.CONVERGENCE, lindqvist.dissemination.profile)
+    }
+
+    @Test
+    fun `the reference page shows what the program does`() {
+        val page = Path.of("..", "docs", "configuration.md").readText()
+        val (base, changes, merged) = page.split("```yaml\n").drop(1).map { it.substringBefore("```") }
+        val errors = page.substringAfter("```text\n").substringBefore("```").trim().lines()
+        val mistakes = folderCases("mistakes.txt").single { "$it" == "example of the reference page" }
+
+        assertEquals(merged, renderYaml(loadFolder(folder(base, changes)).valid().tree))
+        assertEquals(errors, loadFolder(mistakes.files).errorLines())
+    }
+
+    private fun Configuration.routesRequiringKey(): Set<String> =
+        routes.filterValues { it.idempotency.requireKey }.keys.map { it.value }.toSet()
+
+    private companion object {
+        const val EVERY_KEY = """
+            services:
+              a:
+                drain_ms: 1
+                slow_start_ms: 2
+                queue: {max_waiting: 3, max_wait_ms: 4}
+                outlier: {consecutive_failures: 5, eject_ms: 6, max_ejected_percent: 7, panic_percent: 8}
+                locality: {spill_percent: 9, cross_region: never}
+            routes:
+              r:
+                host: a.b
+                path_prefix: /a
+                methods: [GET]
+                destinations: {a: 10}
+                timeout_ms: 11
+                idle_timeout_ms: 12
+                retry: {max_attempts: 1, budget_percent: 13, attempt_timeout_ms: 14, hedge_after_ms: 15}
+                idempotency:
+                  require_key: true
+                  idempotent_methods: [PUT]
+                  keep_outcome_ms: 86400016
+                  max_kept_body_bytes: 17
+            limits: {max_header_bytes: 1024, max_body_bytes: 18, max_connections: 19, max_concurrent_calls: 20}
+            quarantine: {deaths: 21, duration_ms: 22, lifted: ["1234", "0x:#,y"]}
+            dissemination: {profile: poll, batch_window_ms: 23, relays_per_region: 4}
+        """
+
+        val everyKeyDecoded = Configuration(
+            services = mapOf(
+                ServiceName("a") to ServiceConfig(
+                    drainMillis = 1,
+                    slowStartMillis = 2,
+                    queue = QueueConfig(maxWaiting = 3, maxWaitMillis = 4),
+                    outlier = OutlierConfig(5, ejectMillis = 6, maxEjectedPercent = 7, panicPercent = 8),
+                    locality = LocalityConfig(spillPercent = 9, crossRegion = CrossRegion.NEVER),
+                ),
+            ),
+            routes = mapOf(
+                RouteName("r") to RouteConfig(
+                    host = "a.b",
+                    pathPrefix = "/a",
+                    methods = setOf("GET"),
+                    destinations = mapOf(ServiceName("a") to 10),
+                    timeoutMillis = 11,
+                    idleTimeoutMillis = 12,
+                    retry = RetryConfig(1, budgetPercent = 13, attemptTimeoutMillis = 14, hedgeAfterMillis = 15),
+                    idempotency = IdempotencyConfig(
+                        true,
+                        setOf("PUT"),
+                        keepOutcomeMillis = 86_400_016,
+                        maxKeptBodyBytes = 17,
+                    ),
+                ),
+            ),
+            limits = LimitsConfig(1024, maxBodyBytes = 18, maxConnections = 19, maxConcurrentCalls = 20),
+            quarantine = QuarantineConfig(21, durationMillis = 22, setOf(Fingerprint("1234"), Fingerprint("0x:#,y"))),
+            dissemination = DisseminationConfig(DisseminationProfile.POLL, batchWindowMillis = 23, relaysPerRegion = 4),
+        )
+
+        @JvmStatic
+        fun validFolders(): List<List<FolderFile>> =
+            listOf(folder(), folder(EVERY_KEY), exampleFolder("kalahari"), exampleFolder("lindqvist"))
+
+        @JvmStatic
+        fun documents(): List<Arguments> =
+            listOf(
+                arguments("", document()),
+                arguments("services: {}", document()),
+                arguments("limits: {}", document("limits" to "{}")),
+                arguments(
+                    "routes: {r: {path_prefix: \"/\", destinations: {a: 1}}}\nservices: {b: {}, a: {drain_ms: \"5\"}}",
+                    document(
+                        "routes/r" to """{"destinations":{"a":1},"path_prefix":"/"}""",
+                        "services/a" to """{"drain_ms":5}""",
+                        "services/b" to "{}",
+                    ),
+                ),
+                arguments(
+                    "quarantine: {lifted: [\"007\", 'true', -x, 5]}",
+                    document("quarantine" to """{"lifted":["007",true,"-x",5]}"""),
+                ),
+            )
+
+        const val DEEP = "the value is nested too deeply; close open brackets and remove levels"
+
+        @JvmStatic
+        fun received(): List<Arguments> =
+            listOf(
+                receiving(),
+                receiving("services/a" to """{"new":{"x":[1]}}""", "new" to "5", "new/x" to "{}"),
+                receiving(
+                    "limits" to "{",
+                    error = "limits:1: limits: the entry is not JSON; publish the configuration again",
+                ),
+                receiving("limits" to "null", error = "limits:1: limits: expected a map, found nothing; write a map"),
+                receiving(
+                    "services/a" to "[".repeat(100) + "]".repeat(100),
+                    error = "services/a:1: services.a${"[0]".repeat(33)}: $DEEP",
+                ),
+                receiving(
+                    "services/b" to "{}",
+                    "routes/r" to """{"path_prefix":"/","destinations":{"a":1}}""",
+                    error = "routes/r:1: routes.r.destinations.a: 'a' is not declared; declare 'a' or use one of b",
+                ),
+            )
+
+        fun receiving(vararg entries: Pair<String, String>, error: String? = null): Arguments =
+            arguments(document(*entries), listOfNotNull(error))
+    }
+}
--- /dev/null
+++ b/yaml/src/test/kotlin/boragelever/yaml/MergeTest.kt
@@ -0,0 +1,43 @@
+package boragelever.yaml
+
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.random.Random
+
+/** Guards against a merge that loses, keeps or reorders what operators wrote. */
+class MergeTest {
+    @ParameterizedTest
+    @MethodSource("merges")
+    fun `files are merged`(case: FolderCase) {
+        assertEquals(case.expected, renderYaml(loadFolder(case.files).valid().tree).lines().filter { it.isNotEmpty() })
+    }
+
+    /** Some of the folders are valid and some are not, so errors are compared as well. */
+    @Property(seed = "20261204", tries = 300)
+    fun `the result does not depend on the order in which files are handed over`(
+        @ForAll("fragments") fragments: List<String>,
+        @ForAll seed: Long,
+    ) {
+        val files = folder(*fragments.toTypedArray())
+
+        assertEquals(loadFolder(files), loadFolder(files.shuffled(Random(seed))))
+    }
+
+    @Provide
+    fun fragments(): Arbitrary<List<String>> {
+        val settings = Arbitraries.of("null", "{}", "{drain_ms: 1}", "{drain_ms: 2}", "{drain_ms: null}", "[1]")
+        val entry = Arbitraries.of("a", "b", "c").flatMap { name -> settings.map { "$name: $it" } }
+        return entry.list().ofMaxSize(3).map { "services: {${it.joinToString()}}" }.list().ofMaxSize(5)
+    }
+
+    private companion object {
+        @JvmStatic
+        fun merges(): List<FolderCase> = folderCases("merges.txt")
+    }
+}
