--- a/core/src/main/kotlin/boragelever/core/control/ControlState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/ControlState.kt
@@ -49,6 +49,14 @@
     public val lastRequest: Long = 0,
     /** Time of the last tick, or `null` before the first; a gap tells that the process was paused. */
     public val lastTickMillis: Long? = null,
+    /** Time for which the process did not run before the current event, or `null` if it was not paused. */
+    public val pausedMillis: Long? = null,
+    /** Configuration that is being compiled. */
+    public val pendingConfig: PendingConfig? = null,
+    /** Read of the store's head that is under way. */
+    public val headRead: HeadRead? = null,
+    /** What [snapshot] was built from. */
+    public val snapshotInputs: SnapshotInputs? = null,
 )
 
 /** Life of the process. */
@@ -58,7 +66,8 @@
     public data object Running : LifecycleState
 
     /** No new work is taken; the process exits once no call is in flight. */
-    public data class Draining(public val sinceMillis: Long) : LifecycleState
+    public data class Draining(public val sinceMillis: Long, public val callsFinished: Boolean = false) :
+        LifecycleState
 }
 
 /** Returns the state with a fresh request id for [owner]. */
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
@@ -0,0 +1,170 @@
+package boragelever.core.control
+
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.Stamp
+import kotlinx.collections.immutable.toPersistentMap
+
+/** Silence of all relays of a region after which it counts as unreachable; two heartbeats and their answers. */
+internal const val REGION_SILENT_MILLIS: Long = 2_500
+
+/** Time after which other nodes than the one that raised a suspicion, and lies in another region, end it. */
+private const val REMOTE_DEAD_AFTER_MILLIS = 10_000L
+
+/** Time for which dead members are remembered and contacted; longer than partitions between regions last. */
+private const val FORGET_DEAD_MILLIS = 1_800_000L
+
+/** Mean wait between two contacts with dead members. */
+private const val DEAD_CONTACT_MILLIS = 10_000L
+
+/** Largest exponent of the silence needed after repeated refutations. */
+private const val MAX_DOUBLINGS = 4
+
+private const val SALT_DEAD = 11
+private const val SALT_DEAD_CHOICE = 12
+private const val SALT_REGION = 13
+
+/** Sends heartbeats that are due and judges the peers that stay silent. */
+internal fun ControlState.tickDetector(stamp: Stamp): Transition =
+    checkWatches(stamp.nowMillis)
+        .andThen { it.checkSuspects(stamp.nowMillis) }
+        .andThenIf(stamp.nowMillis >= members.detector.nextHeartbeatMillis) { it.sendHeartbeats(stamp) }
+        .andThenIf(stamp.nowMillis >= members.detector.nextDeadContactMillis) { it.contactDead(stamp) }
+
+internal inline fun ControlState.updateDetector(change: DetectorState.() -> DetectorState): ControlState =
+    updateMembers { copy(detector = detector.change()) }
+
+/** Forgets all silences: after a pause they tell nothing about the peers. */
+internal fun ControlState.restartDetector(nowMillis: Long): ControlState =
+    updateDetector {
+        copy(
+            watches = watches.mapValues { (_, watch) -> watch.copy(heardMillis = nowMillis) }.toPersistentMap(),
+            suspects = suspects.mapValues { (_, it) -> it.copy(sinceMillis = nowMillis) }.toPersistentMap(),
+            regionHeard = regionHeard.mapValues { nowMillis }.toPersistentMap(),
+        )
+    }
+
+/** Notes that [peer] sent a message. */
+internal fun ControlState.noteHeard(peer: NodeId, nowMillis: Long): ControlState {
+    val watch = members.detector.watches[peer]
+    val region = members.table[peer]?.record?.region
+    return updateMembers { copy(lastContactMillis = nowMillis) }.updateDetector {
+        copy(
+            watches = if (watch == null) watches else watches.put(peer, watch.copy(heardMillis = nowMillis)),
+            regionHeard = if (region == null) regionHeard else regionHeard.put(region, nowMillis),
+        )
+    }
+}
+
+internal fun ControlState.noteAnswered(peer: NodeId, number: Long): ControlState {
+    val watch = members.detector.watches[peer] ?: return this
+    if (number <= watch.answered) return this
+    return updateDetector { copy(watches = watches.put(peer, watch.copy(answered = number))) }
+}
+
+private fun ControlState.checkWatches(nowMillis: Long): Transition {
+    val silent = members.detector.watches.filter { (node, watch) ->
+        nowMillis - watch.heardMillis >= watch.patienceMillis() && isOwnRegion(node) && isAlive(node)
+    }
+    return forEach(silent.keys) { state, node ->
+        val suspicion = Suspicion(nowMillis, raisedHere = true)
+        state
+            .updateDetector { copy(suspects = suspects.put(node, suspicion)) }
+            .judge(node, MemberStatus.SUSPECT, nowMillis, announce = true)
+    }
+}
+
+private fun Watch.patienceMillis(): Long = SUSPECT_AFTER_MILLIS shl minOf(refutations, MAX_DOUBLINGS)
+
+private fun ControlState.isOwnRegion(node: NodeId): Boolean = members.table[node]?.record?.region == identity.region
+
+private fun ControlState.isAlive(node: NodeId): Boolean = members.table[node]?.status == MemberStatus.ALIVE
+
+private fun ControlState.checkSuspects(nowMillis: Long): Transition {
+    val expired = members.detector.suspects.filter { (node, suspicion) ->
+        val region = members.table[node]?.record?.region
+        val isOwn = suspicion.raisedHere || region == identity.region
+        val boundMillis = if (isOwn) DEAD_AFTER_MILLIS else REMOTE_DEAD_AFTER_MILLIS
+        nowMillis - suspicion.sinceMillis >= boundMillis && (region == null || !isUnreachable(region))
+    }
+    return forEach(expired.entries) { state, (node, suspicion) ->
+        state.judge(node, MemberStatus.DEAD, nowMillis, announce = suspicion.raisedHere)
+    }
+}
+
+private fun ControlState.sendHeartbeats(stamp: Stamp): Transition {
+    val nowMillis = stamp.nowMillis
+    val ring = members.table.region(identity.region).ring
+    val successors = ring.after(identity.node).take(WATCHED_SUCCESSORS)
+    val relays = members.table.relays(identity.region, relaysPerRegion)
+    val isRelay = identity.node in relays
+    val remote = if (isRelay) remotePeers(stamp) else emptyList()
+    val targets = (successors + remote).toSet()
+    val detector = members.detector
+    val watches = targets.associateWith { detector.watches[it] ?: Watch(nowMillis) }.toPersistentMap()
+    val relaySinceMillis = if (isRelay) detector.relaySinceMillis ?: nowMillis else null
+    return updateDetector {
+        copy(
+            watches = watches,
+            relaySinceMillis = relaySinceMillis,
+            nextHeartbeatMillis = nowMillis + HEARTBEAT_MILLIS,
+        )
+    }.forEach(targets) { state, peer -> state.sendHeartbeat(peer) }
+        .andThen { it.publishReachability(nowMillis) }
+}
+
+/** Relays of the other regions, and a random member of each unreachable one in case that its relays are gone. */
+private fun ControlState.remotePeers(stamp: Stamp): List<NodeId> =
+    members.table.regions.filterKeys { it != identity.region }.flatMap { (region, view) ->
+        val relays = members.table.relays(region, relaysPerRegion)
+        val isLost = relays.isEmpty() || isUnreachable(region)
+        val extra = view.ring.entries.randomOrNull(stamp.random(SALT_REGION))?.takeIf { isLost }
+        relays + listOfNotNull(extra?.node)
+    }
+
+private fun ControlState.sendHeartbeat(peer: NodeId): Transition {
+    val watch = members.detector.watches[peer] ?: return unchanged()
+    val number = members.detector.lastNumber + 1
+    val heartbeat = PeerMessage.Heartbeat(number, applied?.id, members.table.digest)
+    // A connection that went silent stays silent, while a new one may work.
+    val isSilent = watch.sent != 0L && watch.answered < watch.sent
+    return updateDetector { copy(lastNumber = number, watches = watches.put(peer, watch.copy(sent = number))) }
+        .let { if (isSilent) it.with(Effect.ClosePeer(peer)) else it.unchanged() }
+        .andThen { it.send(peer, heartbeat) }
+}
+
+/** As a relay, tells in the own record which regions do not answer. */
+private fun ControlState.publishReachability(nowMillis: Long): Transition {
+    val own = members.own ?: return unchanged()
+    val sinceMillis = members.detector.relaySinceMillis
+    val silent = if (sinceMillis == null) emptySet() else silentRegions(sinceMillis, nowMillis)
+    if (silent == own.unreachableRegions) return unchanged()
+    return publishOwn(nowMillis, urgent = true) { copy(unreachableRegions = silent) }
+}
+
+private fun ControlState.silentRegions(sinceMillis: Long, nowMillis: Long): Set<RegionName> =
+    members.table.regions.keys
+        .filter { it != identity.region }
+        .filter { region ->
+            val heardMillis = maxOf(sinceMillis, members.detector.regionHeard[region] ?: sinceMillis)
+            nowMillis - heardMillis >= REGION_SILENT_MILLIS
+        }.toSet()
+
+/** Contacts one dead member, so that both sides of a healed partition find each other, and forgets old ones. */
+private fun ControlState.contactDead(stamp: Stamp): Transition {
+    val nowMillis = stamp.nowMillis
+    val old = members.detector.dead.filterValues { nowMillis - it >= FORGET_DEAD_MILLIS }.keys
+    val kept = updateMembers {
+        copy(
+            table = old.fold(table) { table, node -> table.forget(node) },
+            outbox = outbox.copy(received = old.fold(outbox.received) { received, node -> received.remove(node) }),
+            detector = detector.copy(
+                dead = old.fold(detector.dead) { dead, node -> dead.remove(node) },
+                nextDeadContactMillis =
+                    nowMillis + DEAD_CONTACT_MILLIS / 2 + stamp.jitter(SALT_DEAD, DEAD_CONTACT_MILLIS),
+            ),
+        )
+    }
+    val chosen = kept.members.detector.dead.keys.randomOrNull(stamp.random(SALT_DEAD_CHOICE)) ?: return kept.unchanged()
+    return kept.send(chosen, PeerMessage.Heartbeat(0, applied?.id, members.table.digest))
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/Join.kt
@@ -0,0 +1,94 @@
+package boragelever.core.control
+
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.Stamp
+
+/** Bound of the random wait before the first contact, so that nodes that restart together spread their contacts. */
+private const val FIRST_CONTACT_MILLIS = 1_000L
+
+/** Wait for an answer before other peers are asked. */
+private const val CONTACT_MILLIS = 500L
+
+/** Longest bound of the random part of the wait between two rounds of contacts. */
+private const val MAX_CONTACT_JITTER_MILLIS = 8_000L
+
+/** Addresses contacted in one round. */
+private const val CONTACTS_PER_ROUND = 3
+
+/** Mean time between two contacts by which a joined node looks for nodes that none of its peers knows. */
+private const val PROBE_MILLIS = 30_000L
+
+private const val SALT_FIRST = 21
+private const val SALT_ROUND = 22
+private const val SALT_CHOICE = 23
+private const val SALT_PEER = 24
+
+internal inline fun ControlState.updateJoin(change: JoinState.() -> JoinState): ControlState =
+    updateMembers { copy(join = join.change()) }
+
+internal fun ControlState.startJoin(stamp: Stamp): ControlState =
+    updateJoin { copy(nextContactMillis = stamp.nowMillis + stamp.jitter(SALT_FIRST, FIRST_CONTACT_MILLIS)) }
+
+/** Contacts peers until one has sent its member table, and from then on a random address now and then. */
+internal fun ControlState.tickJoin(stamp: Stamp): Transition {
+    val join = members.join
+    if (stamp.nowMillis < join.nextContactMillis) return unchanged()
+    return if (join.joined && hasPeers) probe(stamp) else contactRound(stamp)
+}
+
+private val ControlState.contactAddresses: List<NetworkAddress>
+    get() = (identity.seeds + members.join.found).filter { it != identity.peerAddress }.distinct()
+
+private fun ControlState.contactRound(stamp: Stamp): Transition {
+    val join = members.join
+    val boundMillis = minOf(MAX_CONTACT_JITTER_MILLIS, CONTACT_MILLIS shl minOf(join.rounds, 4))
+    val waitMillis = CONTACT_MILLIS + stamp.jitter(SALT_ROUND, boundMillis)
+    val addresses = contactAddresses.shuffled(stamp.random(SALT_CHOICE)).take(CONTACTS_PER_ROUND)
+    return updateJoin { copy(asked = null, rounds = rounds + 1, nextContactMillis = stamp.nowMillis + waitMillis) }
+        .with(*addresses.map { Effect.ContactAddress(it) }.toTypedArray())
+        .andThen { it.askKnownPeer(stamp) }
+}
+
+private fun ControlState.askKnownPeer(stamp: Stamp): Transition {
+    val own = members.table.region(identity.region).ring.entries.filter { it.node != identity.node }
+    val peer = own.randomOrNull(stamp.random(SALT_PEER))?.node ?: return unchanged()
+    return ask(peer, stamp.nowMillis)
+}
+
+/** Announces this node through [peer] and asks it for its member table. */
+private fun ControlState.ask(peer: NodeId, nowMillis: Long): Transition {
+    val own = members.own ?: return unchanged()
+    val announcement = PeerMessage.MemberUpdate(0, listOf(MemberStatusRecord(own, MemberStatus.ALIVE)), TreeScope.ALL)
+    return updateJoin { copy(asked = peer) }
+        .deliver(Hop(peer, TreePart(TreeScope.ALL)), announcement, nowMillis)
+        .andThen { it.sendSummary(peer, nowMillis) }
+}
+
+private fun ControlState.probe(stamp: Stamp): Transition {
+    val waitMillis = PROBE_MILLIS / 2 + stamp.jitter(SALT_ROUND, PROBE_MILLIS)
+    val address = contactAddresses.randomOrNull(stamp.random(SALT_CHOICE))
+    val next = updateJoin { copy(probed = address, nextContactMillis = stamp.nowMillis + waitMillis) }
+    return if (address == null) next.unchanged() else next.with(Effect.ContactAddress(address))
+}
+
+/** Learns of a peer from its hello. */
+internal fun ControlState.connected(record: MemberRecord, nowMillis: Long): Transition {
+    val peer = record.node
+    if (peer == identity.node) return unchanged()
+    val wasKnown = members.table[peer]?.isLive == true
+    val merged = mergeRecords(listOf(MemberStatusRecord(record, MemberStatus.ALIVE)), nowMillis)
+    val join = members.join
+    val isFound = join.joined && !wasKnown && record.peerAddress == join.probed
+    return merged.transition
+        .andThen { it.noteHeard(peer, nowMillis).unchanged() }
+        .andThen { it.tellStatus(peer) }
+        .andThenIf(!join.joined && join.asked == null) { it.ask(peer, nowMillis) }
+        .andThenIf(isFound) { it.sendSummary(peer, nowMillis) }
+}
+
+/** Tells [peer] if it counts as suspect or dead, so that it refutes this. */
+internal fun ControlState.tellStatus(peer: NodeId): Transition {
+    val member = members.table[peer] ?: return unchanged()
+    return if (member.status == MemberStatus.ALIVE) unchanged() else sendRecords(peer, listOf(member))
+}
--- a/core/src/main/kotlin/boragelever/core/control/Member.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Member.kt
@@ -25,6 +25,8 @@
     public val upstreams: List<UpstreamRecord> = emptyList(),
     /** True once the node is stopping; it takes no new work. */
     public val leaving: Boolean = false,
+    /** Regions that this node, as a relay, gets no answer from. */
+    public val unreachableRegions: Set<RegionName> = emptySet(),
 )
 
 /** One upstream beside a node. */
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
@@ -0,0 +1,97 @@
+package boragelever.core.control
+
+import boragelever.core.Incarnation
+import boragelever.core.NodeId
+
+/** Changes what this node tells of itself and broadcasts it under the next sequence number. */
+internal fun ControlState.publishOwn(
+    nowMillis: Long,
+    urgent: Boolean = false,
+    change: MemberRecord.() -> MemberRecord,
+): Transition {
+    val own = members.own ?: return unchanged()
+    val next = own.change().copy(sequence = own.sequence + 1)
+    val update = MemberStatusRecord(next, MemberStatus.ALIVE)
+    val merged = members.table.merge(update, nowMillis) ?: members.table
+    return updateMembers { copy(own = next, table = merged) }
+        .broadcast(listOf(update), TreePart(TreeScope.ALL), nowMillis, urgent)
+}
+
+/** Raises the own incarnation above [atLeast], so that the record replaces whatever is told about this node. */
+internal fun ControlState.raiseIncarnation(atLeast: Incarnation, nowMillis: Long): Transition =
+    publishOwn(nowMillis, urgent = true) {
+        copy(incarnation = Incarnation(maxOf(incarnation, atLeast).value + 1))
+    }
+
+/** Result of merging records: the transition and those that brought something new. */
+internal data class Merged(val transition: Transition, val news: List<MemberStatusRecord>)
+
+/** Merges [updates] into the member table and refutes what is wrong about this node. */
+internal fun ControlState.mergeRecords(updates: List<MemberStatusRecord>, nowMillis: Long): Merged {
+    val news = mutableListOf<MemberStatusRecord>()
+    val transition = forEach(updates) { state, update ->
+        if (update.record.node == identity.node) {
+            state.refute(update, nowMillis)
+        } else {
+            val next = state.mergeRecord(update, nowMillis)
+            if (next != null) news += update
+            next ?: state.unchanged()
+        }
+    }
+    return Merged(transition, news)
+}
+
+private fun ControlState.refute(update: MemberStatusRecord, nowMillis: Long): Transition {
+    val own = members.own ?: return unchanged()
+    val order = update.record.version.compareTo(own.version)
+    val isWrong = order > 0 || (order == 0 && update.status != MemberStatus.ALIVE)
+    return if (isWrong) raiseIncarnation(update.record.incarnation, nowMillis) else unchanged()
+}
+
+private fun ControlState.mergeRecord(update: MemberStatusRecord, nowMillis: Long): Transition? {
+    val table = members.table.merge(update, nowMillis) ?: return null
+    val node = update.record.node
+    val before = members.table[node]?.status
+    val next = updateMembers { copy(table = table, detector = detector.statusChanged(update, before, nowMillis)) }
+    return if (before == update.status) {
+        next.unchanged()
+    } else {
+        next.with(report(Notice.MemberChanged(node, update.status)))
+    }
+}
+
+private fun DetectorState.statusChanged(
+    update: MemberStatusRecord,
+    before: MemberStatus?,
+    nowMillis: Long,
+): DetectorState {
+    val node = update.record.node
+    return when (update.status) {
+        MemberStatus.ALIVE ->
+            if (before == null || before == MemberStatus.ALIVE) {
+                this
+            } else {
+                copy(
+                    suspects = suspects.remove(node),
+                    dead = dead.remove(node),
+                    watches = watches.refuted(node, nowMillis),
+                )
+            }
+        MemberStatus.SUSPECT -> {
+            val suspicion = suspects[node] ?: Suspicion(nowMillis, raisedHere = false)
+            copy(suspects = suspects.put(node, suspicion), dead = dead.remove(node))
+        }
+        MemberStatus.DEAD -> copy(suspects = suspects.remove(node), dead = dead.put(node, nowMillis))
+    }
+}
+
+private fun kotlinx.collections.immutable.PersistentMap<NodeId, Watch>.refuted(node: NodeId, nowMillis: Long) =
+    this[node]?.let { put(node, it.copy(heardMillis = nowMillis, refutations = it.refutations + 1)) } ?: this
+
+/** Sets the status that this node itself found for [node] and broadcasts it if [announce] is set. */
+internal fun ControlState.judge(node: NodeId, status: MemberStatus, nowMillis: Long, announce: Boolean): Transition {
+    val record = members.table[node]?.record ?: return unchanged()
+    val update = MemberStatusRecord(record, status)
+    val judged = mergeRecord(update, nowMillis) ?: return unchanged()
+    return judged.andThenIf(announce) { it.broadcast(listOf(update), TreePart(TreeScope.ALL), nowMillis) }
+}
--- a/core/src/main/kotlin/boragelever/core/control/MembershipReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MembershipReducer.kt
@@ -1,9 +1,70 @@
 package boragelever.core.control
 
-/** State of the membership concern. */
-public data class MembershipState(public val unused: Unit = Unit)
+import boragelever.core.Stamp
+
+private const val SALT_HEARTBEAT = 1
 
 internal fun reduceMembership(state: ControlState, event: Event): Transition =
     when (event) {
+        is Event.Started -> state.startMembership(event.stamp).unchanged()
+        is Event.Ticked -> state.tickMembership(event.stamp)
+        is Event.PeerConnected -> state.connected(event.record, event.stamp.nowMillis)
+        is Event.PeerMessageReceived -> state.peerMessage(event)
+        is Event.PeerUnreachable -> state.handOverAll(event.peer, event.stamp.nowMillis)
+        is Event.StoreAnswered -> state.rowsAnswered(event)
         else -> state.unchanged()
     }
+
+private fun ControlState.startMembership(stamp: Stamp): ControlState {
+    val own = MemberRecord(
+        node = identity.node,
+        incarnation = identity.incarnation,
+        sequence = 0,
+        region = identity.region,
+        zone = identity.zone,
+        peerAddress = identity.peerAddress,
+        callAddress = identity.callAddress,
+    )
+    val table = members.table.put(Member(own, MemberStatus.ALIVE, stamp.nowMillis))
+    val firstMillis = stamp.nowMillis + stamp.jitter(SALT_HEARTBEAT, HEARTBEAT_MILLIS)
+    return updateMembers { copy(own = own, table = table) }
+        .updateDetector { copy(nextHeartbeatMillis = firstMillis) }
+        .startJoin(stamp)
+        .startRows(stamp)
+}
+
+private fun ControlState.tickMembership(stamp: Stamp): Transition {
+    val nowMillis = stamp.nowMillis
+    val isPaused = pausedMillis != null
+    val resumed = if (isPaused) restartDetector(nowMillis) else this
+    return resumed
+        .unchanged()
+        .andThenIf(isPaused) { it.raiseIncarnation(identity.incarnation, nowMillis) }
+        .andThen { it.tickDetector(stamp) }
+        .andThen { it.tickJoin(stamp) }
+        .andThen { it.adjustScans(stamp).tickRows(stamp) }
+        .andThen { it.tickOutbox(nowMillis) }
+}
+
+private fun ControlState.peerMessage(event: Event.PeerMessageReceived): Transition {
+    val nowMillis = event.stamp.nowMillis
+    val from = event.from
+    val heard = noteHeard(from, nowMillis)
+    return when (val message = event.message) {
+        is PeerMessage.Heartbeat ->
+            heard
+                .send(from, PeerMessage.HeartbeatAck(message.number, applied?.id, members.table.digest))
+                .andThen { it.tellStatus(from) }
+                .andThen { it.compareTables(from, message.membersDigest, nowMillis) }
+        is PeerMessage.HeartbeatAck ->
+            heard
+                .noteAnswered(from, message.number)
+                .tellStatus(from)
+                .andThen { it.compareTables(from, message.membersDigest, nowMillis) }
+        is PeerMessage.MemberUpdate -> heard.receiveUpdate(from, message, nowMillis)
+        is PeerMessage.MemberAck -> heard.acknowledged(from, message.number).unchanged()
+        is PeerMessage.MemberSummary -> heard.answerSummary(from, message, nowMillis)
+        is PeerMessage.MemberPull -> heard.answerPull(from, message, nowMillis)
+        else -> heard.unchanged()
+    }
+}
--- a/core/src/main/kotlin/boragelever/core/control/PeerMessage.kt
+++ b/core/src/main/kotlin/boragelever/core/control/PeerMessage.kt
@@ -38,6 +38,8 @@
         public val id: ConfigId,
         public val body: ConfigBody,
         public val scope: TreeScope,
+        /** Part of the zone's ring that [TreeScope.ZONE] covers, or `null` for the whole zone. */
+        public val range: RingRange? = null,
     ) : PeerMessage
 
     /** Tells which configuration the sender holds after a push. */
@@ -57,9 +59,13 @@
         public val number: Long,
         public val records: List<MemberStatusRecord>,
         public val scope: TreeScope,
+        /** Part of the zone's ring that [TreeScope.ZONE] covers, or `null` for the whole zone. */
+        public val range: RingRange? = null,
+        /** True if the message answers a [MemberSummary] or [MemberPull] and is not part of a broadcast. */
+        public val isAnswer: Boolean = false,
     ) : PeerMessage
 
-    /** Acknowledges the [MemberUpdate] with the same [number]. */
+    /** Acknowledges the [MemberUpdate] or [QuarantineUpdate] with the same [number]. */
     @Serializable
     @SerialName("mem-ack")
     public data class MemberAck(public val number: Long) : PeerMessage
@@ -81,6 +87,8 @@
         public val number: Long,
         public val deaths: List<FingerprintDeath>,
         public val scope: TreeScope,
+        /** Part of the zone's ring that [TreeScope.ZONE] covers, or `null` for the whole zone. */
+        public val range: RingRange? = null,
     ) : PeerMessage
 }
 
--- a/core/src/main/kotlin/boragelever/core/control/Reducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Reducer.kt
@@ -11,7 +11,8 @@
  * Reduces one event. The only entry to the control state.
  *
  * Each concern sees the event in turn with the state that the concerns before it left: the store's health first, then
- * lease, publisher, membership, discovery, dissemination, quarantine, and last the snapshot that follows from all.
+ * lease, publisher, membership, discovery, config, dissemination, quarantine, and last the snapshot that follows from
+ * all.
  */
 public fun reduce(state: ControlState, event: Event): Transition =
     Transition(state)
@@ -21,9 +22,10 @@
         .then(event, ::reducePublisher)
         .then(event, ::reduceMembership)
         .then(event, ::reduceDiscovery)
+        .then(event, ::reduceConfig)
         .then(event, ::reduceDissemination)
         .then(event, ::reduceQuarantine)
-        .then(event, ::reduceSnapshot)
+        .andThen(::reduceSnapshot)
 
 private inline fun Transition.then(event: Event, concern: (ControlState, Event) -> Transition): Transition {
     val next = concern(state, event)
--- a/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
@@ -1,6 +1,104 @@
 package boragelever.core.control
 
-internal fun reduceSnapshot(state: ControlState, event: Event): Transition =
-    when (event) {
-        else -> state.unchanged()
+import boragelever.core.Fingerprint
+import boragelever.core.InstanceId
+import boragelever.core.RegionName
+import boragelever.core.ServiceName
+import boragelever.core.routing.CompiledRoute
+import boragelever.core.routing.CompiledService
+import boragelever.core.routing.Destination
+import boragelever.core.routing.Endpoint
+import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.RoutingSnapshot
+import kotlinx.collections.immutable.PersistentMap
+
+/** What a snapshot is built from; compared by identity, so that a tick costs nothing. */
+public class SnapshotInputs internal constructor(
+    internal val applied: AppliedConfig,
+    internal val table: MemberTable,
+    internal val refused: PersistentMap<Fingerprint, Long>,
+    internal val upstreams: PersistentMap<InstanceId, LocalUpstream>,
+    internal val lifecycle: LifecycleState,
+) {
+    internal fun isSameAs(other: SnapshotInputs): Boolean =
+        applied === other.applied &&
+            table === other.table &&
+            refused === other.refused &&
+            upstreams === other.upstreams &&
+            lifecycle == other.lifecycle
+}
+
+/** Installs a new snapshot if what it is built from has changed. */
+internal fun reduceSnapshot(state: ControlState): Transition {
+    val config = state.applied ?: return state.unchanged()
+    val inputs = SnapshotInputs(
+        config,
+        state.members.table,
+        state.quarantine.refused,
+        state.discovery.upstreams,
+        state.lifecycle,
+    )
+    if (state.snapshotInputs?.isSameAs(inputs) == true) return state.unchanged()
+    val snapshot = state.buildSnapshot(config)
+    val next = state.copy(snapshotInputs = inputs)
+    if (snapshot == state.snapshot) return next.unchanged()
+    return next.copy(snapshot = snapshot).with(Effect.InstallSnapshot(snapshot))
+}
+
+private fun ControlState.buildSnapshot(config: AppliedConfig): RoutingSnapshot {
+    val endpoints = endpoints()
+    val services = config.configuration.services.mapValues { (name, service) ->
+        CompiledService(name, service, endpoints[name].orEmpty().sortedBy { it.instance.value })
+    }
+    return RoutingSnapshot(
+        config = config.id,
+        node = identity.node,
+        routes = config.routes(services.keys),
+        services = services,
+        limits = config.configuration.limits,
+        localUpstreams = members.own?.upstreams.orEmpty().associateBy { it.instance },
+        quarantined = quarantine.refused,
+        draining = lifecycle is LifecycleState.Draining,
+    )
+}
+
+/** Destinations that are not services of the configuration are left out, so that every destination resolves. */
+private fun AppliedConfig.routes(services: Set<ServiceName>): List<CompiledRoute> =
+    configuration.routes
+        .map { (name, route) ->
+            val destinations = route.destinations.filterKeys { it in services }
+            CompiledRoute(name, route, destinations.map { (service, weight) -> Destination(service, weight) })
+        }.sortedWith(compareByDescending<CompiledRoute> { it.config.pathPrefix.length }.thenBy { it.name.value })
+
+private fun ControlState.endpoints(): Map<ServiceName, List<Endpoint>> {
+    val unreachable = members.table.regions.keys.filter { isUnreachable(it) }.toSet()
+    return members.table.members.values
+        .filter { it.isLive && !it.record.leaving }
+        .flatMap { member -> member.endpoints(this, unreachable) }
+        .groupBy { it.service }
+}
+
+private fun Member.endpoints(state: ControlState, unreachable: Set<RegionName>): List<Endpoint> =
+    record.upstreams
+        .filter { it.state == UpstreamState.SERVING }
+        .map { upstream ->
+            Endpoint(
+                instance = upstream.instance,
+                service = upstream.service,
+                node = record.node,
+                callAddress = record.callAddress,
+                region = record.region,
+                zone = record.zone,
+                tier = state.identity.tierOf(record),
+                slots = upstream.slots,
+                servingSinceMillis = servingSince[upstream.instance] ?: sinceMillis,
+                trusted = status == MemberStatus.ALIVE && record.region !in unreachable,
+            )
+        }
+
+private fun NodeIdentity.tierOf(record: MemberRecord): LocalityTier =
+    when {
+        record.region != region -> LocalityTier.OTHER_REGION
+        record.zone != zone -> LocalityTier.SAME_REGION
+        else -> LocalityTier.SAME_ZONE
     }
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/control/Transitions.kt
@@ -0,0 +1,51 @@
+package boragelever.core.control
+
+import boragelever.core.NodeId
+import boragelever.core.Stamp
+import kotlin.random.Random
+
+private const val SALT_FACTOR = 0x2545f4914f6cdd1dL
+
+/** Applies [step] to the state of this transition and appends its effects. */
+internal inline fun Transition.andThen(step: (ControlState) -> Transition): Transition {
+    val next = step(state)
+    return if (next.effects.isEmpty()) {
+        Transition(next.state, effects)
+    } else {
+        Transition(
+            next.state,
+            effects + next.effects,
+        )
+    }
+}
+
+/** Applies [step] for each of [items] in turn. */
+internal inline fun <T> ControlState.forEach(items: Iterable<T>, step: (ControlState, T) -> Transition): Transition {
+    val effects = mutableListOf<Effect>()
+    var current = this
+    for (item in items) {
+        val next = step(current, item)
+        current = next.state
+        effects += next.effects
+    }
+    return Transition(current, effects)
+}
+
+/** Applies [step] if [condition] holds. */
+internal inline fun Transition.andThenIf(condition: Boolean, step: (ControlState) -> Transition): Transition =
+    if (condition) andThen(step) else this
+
+/** Returns a random source for one decision; [salt] keeps decisions made for the same event independent. */
+internal fun Stamp.random(salt: Int): Random = Random(mixBits(seed + salt * SALT_FACTOR))
+
+/** Returns a random time below [boundMillis], the full jitter of a wait. */
+internal fun Stamp.jitter(salt: Int, boundMillis: Long): Long = random(salt).nextLong(maxOf(1, boundMillis))
+
+/** Sends [message] to [peer], or nothing if its address is not known. */
+internal fun ControlState.send(peer: NodeId, message: PeerMessage): Transition {
+    val address = members.table[peer]?.record?.peerAddress ?: return unchanged()
+    return with(Effect.SendToPeer(peer, address, message))
+}
+
+internal inline fun ControlState.updateMembers(change: MembershipState.() -> MembershipState): ControlState =
+    copy(members = members.change())
--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
@@ -0,0 +1,260 @@
+package boragelever.core.control
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Digest
+import boragelever.core.Epoch
+import boragelever.core.Incarnation
+import boragelever.core.InstanceId
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.ServiceName
+import boragelever.core.Stamp
+import boragelever.core.ZoneName
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.ConfigId
+import boragelever.core.routing.RoutingSnapshot
+import boragelever.core.store.ObjectKey
+import boragelever.core.store.Row
+import boragelever.core.store.RowValue
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** Faults of the links between nodes. */
+internal data class Faults(val loss: Double = 0.0, val duplication: Double = 0.0, val reorderMillis: Long = 0)
+
+/** One node of a [FakeMesh] over all its process lives. */
+internal class FakeNode(val identity: NodeIdentity) {
+    var state: ControlState = ControlState(identity)
+    var isUp: Boolean = false
+    var life: Int = 0
+    var isPaused: Boolean = false
+    val held = mutableListOf<Event>()
+    val connected = mutableSetOf<NodeId>()
+    val snapshots = mutableListOf<Pair<Long, RoutingSnapshot>>()
+    val broken = mutableListOf<String>()
+}
+
+/** Drives the cores of many nodes over a queue with delays and faults, under one simulated clock. */
+internal class FakeMesh(val size: MeshSize, seed: Int) {
+    private val random = Random(seed)
+    private val queue = PriorityQueue<Pending>(compareBy({ it.atMillis }, { it.order }))
+    private var order = 0L
+    var nowMillis: Long = 10_000
+    var faults: Faults = Faults()
+    var isStoreUp: Boolean = true
+    val store = FakeStore()
+
+    /** Tells if a link between two nodes is cut. Cut links lose messages silently. */
+    var isCut: (FakeNode, FakeNode) -> Boolean = { _, _ -> false }
+    var observer: (FakeNode, Event, Transition) -> Unit = { _, _, _ -> }
+    var sent: Long = 0
+    val nodes: List<FakeNode> = size.identities().map { FakeNode(it) }
+    private val byAddress = nodes.associateBy { it.identity.peerAddress }
+    private val documents = mutableMapOf<ConfigVersion, Digest>()
+
+    private class Pending(val atMillis: Long, val order: Long, val action: () -> Unit)
+
+    private fun schedule(delayMillis: Long, action: () -> Unit) {
+        queue.add(Pending(nowMillis + delayMillis, order++, action))
+    }
+
+    fun runFor(millis: Long) {
+        runUntil(millis) { false }
+    }
+
+    /** Runs until [done] holds at a step of 10 ms, at most [limitMillis]; returns the time taken, or `null`. */
+    fun runUntil(limitMillis: Long, done: () -> Boolean): Long? {
+        val startMillis = nowMillis
+        while (nowMillis < startMillis + limitMillis) {
+            if (done()) return nowMillis - startMillis
+            val stepEnd = nowMillis + 10
+            while (queue.isNotEmpty() && queue.peek().atMillis <= stepEnd) {
+                val next = queue.poll()
+                nowMillis = maxOf(nowMillis, next.atMillis)
+                next.action()
+            }
+            nowMillis = stepEnd
+        }
+        return if (done()) limitMillis else null
+    }
+
+    fun start(node: FakeNode) {
+        node.life++
+        val incarnation = Incarnation(node.identity.incarnation.value + node.life * 100L)
+        node.state = ControlState(node.identity.copy(incarnation = incarnation))
+        node.isUp = true
+        node.isPaused = false
+        node.connected.clear()
+        node.held.clear()
+        feed(node, node.life) { Event.Started(it) }
+        val life = node.life
+        schedule(random.nextLong(TICK_MILLIS)) { tick(node, life) }
+    }
+
+    fun kill(node: FakeNode) {
+        node.isUp = false
+        nodes.forEach { other ->
+            if (other.isUp && other.connected.remove(node.identity.node)) {
+                schedule(latency(node, other)) { feed(other) { Event.PeerUnreachable(it, node.identity.node) } }
+            }
+        }
+    }
+
+    fun resume(node: FakeNode) {
+        node.isPaused = false
+        val waiting = node.held.toList()
+        node.held.clear()
+        waiting.forEach { event -> reduceOn(node, event) }
+    }
+
+    private fun tick(node: FakeNode, life: Int) {
+        if (!node.isUp || node.life != life) return
+        if (!node.isPaused) feed(node, life) { Event.Ticked(it) }
+        schedule(TICK_MILLIS) { tick(node, life) }
+    }
+
+    fun feed(node: FakeNode, life: Int = node.life, event: (Stamp) -> Event) {
+        if (!node.isUp || node.life != life) return
+        val made = event(Stamp(nowMillis, random.nextLong()))
+        if (node.isPaused) node.held += made else reduceOn(node, made)
+    }
+
+    private fun reduceOn(node: FakeNode, event: Event) = apply(node, event, reduce(node.state, event))
+
+    /** Offers a new configuration to [node] as if it had published it. */
+    fun publish(node: FakeNode, version: Long, document: ConfigDocument = sampleDocument(version)) {
+        val id = ConfigId(ConfigVersion(version), document.digest())
+        val key = ObjectKey("config/$version")
+        store.documents[key] = document
+        store.put("config/head", RowValue.Head(id.version, Epoch(1), id.digest, key, node.identity.node))
+        apply(node, null, node.state.offerConfig(id, document))
+    }
+
+    private fun apply(node: FakeNode, event: Event?, transition: Transition) {
+        node.check(transition.state)
+        node.state = transition.state
+        if (event != null) observer(node, event, transition)
+        transition.effects.forEach { run(node, it) }
+    }
+
+    private fun FakeNode.check(next: ControlState) {
+        val applied = next.applied ?: return
+        if (applied === state.applied) return
+        if (applied.id.version <= state.applied?.id.versionOrNone()) broken += "version went back to ${applied.id}"
+        if (applied.document.digest() != applied.id.digest) broken += "document does not match ${applied.id}"
+        if (documents.getOrPut(applied.id.version) { applied.id.digest } != applied.id.digest) broken += "two documents"
+    }
+
+    private fun run(node: FakeNode, effect: Effect) {
+        when (effect) {
+            is Effect.SendToPeer -> transmit(node, effect.address, effect.message)
+            is Effect.ContactAddress -> transmit(node, effect.address, null)
+            is Effect.CallStore -> callStore(node, effect)
+            is Effect.CompileDocument -> compile(node, effect)
+            is Effect.InstallSnapshot -> {
+                val unresolved = effect.snapshot.routes.flatMap { it.destinations }.map { it.service } -
+                    effect.snapshot.services.keys
+                if (unresolved.isNotEmpty()) node.broken += "unresolved $unresolved"
+                node.snapshots += nowMillis to effect.snapshot
+            }
+            is Effect.Exit -> kill(node)
+            else -> Unit
+        }
+    }
+
+    private fun transmit(from: FakeNode, address: NetworkAddress, message: PeerMessage?) {
+        val to = byAddress.getValue(address)
+        sent++
+        if (isCut(from, to) || random.nextDouble() < faults.loss) return
+        val copies = if (random.nextDouble() < faults.duplication) 2 else 1
+        repeat(copies) {
+            val extraMillis = if (faults.reorderMillis > 0) random.nextLong(faults.reorderMillis) else 0
+            schedule(latency(from, to) + extraMillis) { arrive(from, to, message) }
+        }
+    }
+
+    private fun arrive(from: FakeNode, to: FakeNode, message: PeerMessage?) {
+        if (isCut(from, to)) return
+        if (!to.isUp) {
+            schedule(latency(from, to)) { feed(from) { Event.PeerUnreachable(it, to.identity.node) } }
+            return
+        }
+        connect(from, to)
+        if (message != null) feed(to) { Event.PeerMessageReceived(it, from.identity.node, message) }
+    }
+
+    private fun connect(from: FakeNode, to: FakeNode) {
+        if (!from.isUp || !to.connected.add(from.identity.node)) return
+        from.connected += to.identity.node
+        val theirs = checkNotNull(from.state.members.own)
+        val ours = checkNotNull(to.state.members.own)
+        feed(to) { Event.PeerConnected(it, theirs) }
+        schedule(latency(from, to)) { feed(from) { Event.PeerConnected(it, ours) } }
+    }
+
+    private fun latency(from: FakeNode, to: FakeNode): Long =
+        if (from.identity.region == to.identity.region) 1 + random.nextLong(2) else 12 + random.nextLong(3)
+
+    private fun callStore(node: FakeNode, effect: Effect.CallStore) {
+        val life = node.life
+        schedule(5) {
+            val answer = store.answer(effect.command, isStoreUp)
+            feed(node, life) { Event.StoreAnswered(it, effect.request, answer) }
+        }
+    }
+
+    private fun compile(node: FakeNode, effect: Effect.CompileDocument) {
+        val life = node.life
+        schedule(2) {
+            val outcome = CompileOutcome.Compiled(sampleConfiguration(effect.document))
+            feed(node, life) { Event.DocumentCompiled(it, effect.version, outcome) }
+        }
+    }
+
+    fun announce(node: FakeNode, state: UpstreamState) {
+        val upstream = sampleUpstream(node.identity.node.value, state)
+        feed(node) { Event.UpstreamAnnounced(it, upstream, ttlMillis = 3_600_000) }
+    }
+
+    fun live(): List<FakeNode> = nodes.filter { it.isUp && !it.isPaused }
+
+    /** True if every live node has applied [version] and knows exactly the live nodes as alive. */
+    fun isSettled(version: Long): Boolean =
+        live().all { it.state.applied?.id.versionOrNone() == ConfigVersion(version) } && agrees()
+
+    fun agrees(): Boolean {
+        val expected = live().map { it.identity.node }.toSet()
+        return live().all { node ->
+            val alive = node.state.members.table.members.values.filter { it.status == MemberStatus.ALIVE }
+            alive.size == expected.size && alive.all { it.record.node in expected }
+        }
+    }
+}
+
+/** Number of regions, zones in each, and nodes in each zone. */
+internal data class MeshSize(val regions: Int, val zones: Int, val nodes: Int, val seeds: Int = 3) {
+    fun identities(): List<NodeIdentity> {
+        val all = (0 until regions).flatMap { r ->
+            (0 until zones).flatMap { z -> (0 until nodes).map { identity(r, z, it) } }
+        }
+        val seedAddresses = all.shuffled(Random(1)).take(seeds).map { it.peerAddress }
+        return all.map { it.copy(seeds = seedAddresses) }
+    }
+
+    private fun identity(r: Int, z: Int, index: Int): NodeIdentity {
+        val name = "n$r$z-$index"
+        return NodeIdentity(
+            node = NodeId(name),
+            region = RegionName("r$r"),
+            zone = ZoneName("z$z"),
+            peerAddress = NetworkAddress("$name:7000"),
+            callAddress = NetworkAddress("$name:7001"),
+            incarnation = Incarnation(1_000),
+            epochOffsetMillis = 1_000_000_000,
+        )
+    }
+}
+
+internal fun sampleUpstream(name: String, state: UpstreamState): UpstreamRecord =
+    UpstreamRecord(ServiceName("s"), InstanceId("$name-s"), NetworkAddress("$name:80"), 9, 130, state)
--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/control/MeshConvergenceTest.kt
@@ -0,0 +1,41 @@
+package boragelever.core.control
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Named.named
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments
+import org.junit.jupiter.params.provider.Arguments.arguments
+import org.junit.jupiter.params.provider.MethodSource
+
+/** Guards against nodes that do not find each other or stay on an old configuration. */
+class MeshConvergenceTest {
+    @ParameterizedTest
+    @MethodSource("meshes")
+    internal fun `every node finds all others and applies the published version`(size: MeshSize, faults: Faults) {
+        val mesh = FakeMesh(size, seed = 7)
+        mesh.faults = faults
+        mesh.nodes.forEach { mesh.start(it) }
+        val joined = mesh.runUntil(20_000) { mesh.agrees() }
+        assertNotNull(joined, "all nodes know each other")
+        mesh.publish(mesh.nodes.first(), 1)
+        assertNotNull(mesh.runUntil(4_000) { mesh.isSettled(1) }, "version 1 everywhere")
+        mesh.runFor(5_000)
+        val before = mesh.sent
+        mesh.publish(mesh.nodes.last(), 2)
+        val took = mesh.runUntil(4_000) { mesh.isSettled(2) }
+        assertNotNull(took, "version 2 everywhere")
+        assertEquals(emptyList<String>(), mesh.nodes.flatMap { it.broken })
+    }
+
+    private companion object {
+        @JvmStatic
+        fun meshes(): List<Arguments> =
+            listOf(
+                arguments(named("two nodes", MeshSize(1, 1, 2)), named("healthy", Faults())),
+                arguments(named("18 nodes", MeshSize(3, 2, 3)), named("healthy", Faults())),
+                arguments(named("18 nodes", MeshSize(3, 2, 3)), named("lossy", Faults(0.05, 0.05, 30))),
+                arguments(named("100 nodes", MeshSize(2, 2, 25)), named("1% loss", Faults(0.01))),
+            )
+    }
+}
