--- a/core/src/test/kotlin/boragelever/core/control/MeshConvergenceTest.kt
+++ b/core/src/test/kotlin/boragelever/core/control/MeshConvergenceTest.kt
@@ -21,7 +21,6 @@
         mesh.publish(mesh.nodes.first(), 1)
         assertNotNull(mesh.runUntil(4_000) { mesh.isSettled(1) }, "version 1 everywhere")
         mesh.runFor(5_000)
-        val before = mesh.sent
         mesh.publish(mesh.nodes.last(), 2)
         val took = mesh.runUntil(4_000) { mesh.isSettled(2) }
         assertNotNull(took, "version 2 everywhere")
