--- a/core/src/main/kotlin/boragelever/core/control/AntiEntropy.kt
+++ b/core/src/main/kotlin/boragelever/core/control/AntiEntropy.kt
@@ -21,12 +21,10 @@
 /** Interval of reads in the polling profile. */
 private const val POLL_MILLIS = 1_000L
 
-private const val SALT_HEAD = 41
-
 /** Notes what [peer] holds; if that is newer, it is pulled unless a push brings it first. */
 internal fun ControlState.noteHeld(peer: NodeId, config: ConfigId?, nowMillis: Long): Transition {
     val noted = updateSpread { copy(held = if (config == null) held.remove(peer) else held.put(peer, config)) }
-    if (config == null || config.version <= knownVersion || config == dissemination.refused) return noted.unchanged()
+    if (config == null || !wantsConfig(config)) return noted.unchanged()
     if (!isPushing) return noted.unchanged()
     val known = dissemination.behind
     val isSame = known != null && known.id.version >= config.version
@@ -37,7 +35,7 @@
 
 private fun ControlState.pullIfDue(nowMillis: Long): Transition {
     val behind = dissemination.behind ?: return unchanged()
-    if (behind.id.version <= knownVersion) return updateSpread { copy(behind = null) }.unchanged()
+    if (!wantsConfig(behind.id)) return updateSpread { copy(behind = null) }.unchanged()
     if (nowMillis < behind.pullMillis) return unchanged()
     return updateSpread { copy(behind = behind.copy(pullMillis = nowMillis + REPEAT_PULL_MILLIS)) }
         .pull(behind.peer, nowMillis)
@@ -86,11 +84,13 @@
     val nextMillis = dissemination.nextHeadReadMillis
     return when {
         !isPolling && !needsHead(nowMillis) -> scheduleHeadRead(null).unchanged()
-        nextMillis == null -> scheduleHeadRead(nowMillis + stamp.jitter(SALT_HEAD, HEAD_READ_MILLIS)).unchanged()
+        nextMillis == null -> scheduleHeadRead(
+            nowMillis + stamp.jitterMillis("head-read", HEAD_READ_MILLIS),
+        ).unchanged()
         nowMillis < nextMillis -> unchanged()
         isPolling -> scheduleHeadRead(nowMillis + POLL_MILLIS).readHead()
         else -> {
-            val waitMillis = HEAD_READ_MILLIS + stamp.jitter(SALT_HEAD, HEAD_READ_MILLIS)
+            val waitMillis = HEAD_READ_MILLIS + stamp.jitterMillis("head-read", HEAD_READ_MILLIS)
             scheduleHeadRead(nowMillis + waitMillis).readHead()
         }
     }
--- a/core/src/main/kotlin/boragelever/core/control/ConfigReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/ConfigReducer.kt
@@ -1,77 +1,110 @@
 package boragelever.core.control
 
+import boragelever.core.ConfigVersion
+import boragelever.core.Stamp
 import boragelever.core.config.ConfigDocument
 import boragelever.core.config.ConfigId
-import boragelever.core.store.RowKey
 import boragelever.core.store.RowValue
 import boragelever.core.store.StoreAnswer
 import boragelever.core.store.StoreCommand
+import boragelever.core.store.StoreKeys
 
-/** A configuration that is being compiled. */
+/** A document that is being compiled before it is applied. */
 public data class PendingConfig(public val id: ConfigId, public val document: ConfigDocument)
 
-/** A read of the store's head; [head] is set while its document is read. */
-public data class HeadRead(public val request: RequestId, public val head: RowValue.Head? = null)
+/** Progress of reading the head and its document from the store. */
+public sealed interface HeadRead {
+    /** No read is on its way; the last one ended at [finishedMillis] and found [found]. */
+    public data class Idle(public val finishedMillis: Long? = null, public val found: ConfigId? = null) : HeadRead
 
-private val HEAD_KEY = RowKey("config/head")
+    /** The head row is being read. */
+    public data class Row(public val request: RequestId) : HeadRead
 
-/** Compiles [document] if it is newer than what is applied or being compiled and matches its digest. */
-internal fun ControlState.offerConfig(id: ConfigId, document: ConfigDocument): Transition {
-    val isNewer = id.version > applied?.id.versionOrNone() && id.version > pendingConfig?.id.versionOrNone()
-    if (!isNewer || document.digest() != id.digest) return unchanged()
-    return copy(pendingConfig = PendingConfig(id, document)).with(Effect.CompileDocument(id.version, document))
-}
-
-/** Reads the head of the store, unless a read is under way. */
-internal fun ControlState.readHead(): Transition {
-    if (headRead != null) return unchanged()
-    val (next, request) = nextRequest(RequestOwner.DISSEMINATION)
-    return next
-        .copy(headRead = HeadRead(request))
-        .with(Effect.CallStore(request, StoreCommand.ReadRows(listOf(HEAD_KEY))))
+    /** The document that [head] names is being read. */
+    public data class Document(public val request: RequestId, public val head: RowValue.Head) : HeadRead
 }
 
 internal fun reduceConfig(state: ControlState, event: Event): Transition =
     when (event) {
-        is Event.DocumentCompiled -> state.compiled(event)
-        is Event.StoreAnswered -> if (event.request ==
-            state.headRead?.request
-        ) {
-            state.headAnswered(event)
-        } else {
-            state.unchanged()
-        }
+        is Event.DocumentCompiled -> state.documentCompiled(event.version, event.outcome)
+        is Event.StoreAnswered -> state.headAnswered(event)
         else -> state.unchanged()
     }
 
-private fun ControlState.compiled(event: Event.DocumentCompiled): Transition {
-    val pending = pendingConfig?.takeIf { it.id.version == event.version } ?: return unchanged()
-    val done = copy(pendingConfig = null)
-    return when (val outcome = event.outcome) {
+/**
+ * Offers a configuration that a peer or the store delivered.
+ *
+ * It is compiled only if its version is higher than that of the applied one and of one being compiled, and if its
+ * digest matches; else the state stays as it is. It is applied once it compiled as a whole.
+ */
+internal fun ControlState.offerConfig(id: ConfigId, document: ConfigDocument): Transition =
+    when {
+        !wantsConfig(id) -> unchanged()
+        document.digest() != id.digest ->
+            with(report(Notice.ConfigRefused(id, listOf("The document doesn't match its digest; it is fetched again"))))
+        else -> copy(pendingConfig = PendingConfig(id, document)).with(Effect.CompileDocument(id.version, document))
+    }
+
+/** True if [id] is newer than all that this node applied, is compiling or has refused. */
+internal fun ControlState.wantsConfig(id: ConfigId): Boolean = id.version > knownVersion() && id != refusedConfig
+
+/** Highest version that this node applied or is compiling. */
+internal fun ControlState.knownVersion(): ConfigVersion = maxOf(
+    applied?.id.versionOrNone(),
+    pendingConfig?.id.versionOrNone(),
+)
+
+/** Reads the head row and, if it names a newer configuration, its document; does nothing while a read is on its way. */
+internal fun ControlState.readHead(): Transition {
+    if (headRead !is HeadRead.Idle || !admitsStoreCalls()) return unchanged()
+    val call = callStore(RequestOwner.CONFIG, StoreCommand.ReadRows(listOf(StoreKeys.HEAD)))
+    return call.send { copy(headRead = HeadRead.Row(call.request)) }
+}
+
+/** Reads the document of [head] unless this node has it or is reading one. */
+internal fun ControlState.fetchHeadDocument(head: RowValue.Head): Transition {
+    val wanted = wantsConfig(head.configId)
+    if (!wanted || headRead is HeadRead.Document) return unchanged()
+    val call = callStore(RequestOwner.CONFIG, StoreCommand.GetDocument(head.document))
+    return call.send { copy(headRead = HeadRead.Document(call.request, head)) }
+}
+
+/** Identity of the configuration that this head names. */
+internal val RowValue.Head.configId: ConfigId get() = ConfigId(version, digest)
+
+private fun ControlState.documentCompiled(version: ConfigVersion, outcome: CompileOutcome): Transition {
+    val pending = pendingConfig
+    if (pending?.id?.version != version) return unchanged()
+    val settled = copy(pendingConfig = null)
+    return when (outcome) {
         is CompileOutcome.Compiled ->
-            done
+            settled
                 .copy(applied = AppliedConfig(pending.id, pending.document, outcome.configuration))
                 .with(report(Notice.ConfigApplied(pending.id)))
-        is CompileOutcome.Refused -> done.with(report(Notice.ConfigRefused(pending.id, outcome.errors)))
+        is CompileOutcome.Refused ->
+            settled.copy(refusedConfig = pending.id).with(report(Notice.ConfigRefused(pending.id, outcome.errors)))
     }
 }
 
-private fun ControlState.headAnswered(event: Event.StoreAnswered): Transition {
-    val done = copy(headRead = null)
-    return when (val answer = event.answer) {
-        is StoreAnswer.RowsRead -> done.readDocument(answer.rows.firstOrNull()?.value as? RowValue.Head)
-        is StoreAnswer.DocumentRead -> {
-            val head = headRead?.head ?: return done.unchanged()
-            done.offerConfig(ConfigId(head.version, head.digest), answer.document)
-        }
-        else -> done.unchanged()
+private fun ControlState.headAnswered(event: Event.StoreAnswered): Transition =
+    when (val read = headRead) {
+        is HeadRead.Idle -> unchanged()
+        is HeadRead.Row -> answerTo(event, read.request) { headRowRead(it, event.stamp) }
+        is HeadRead.Document -> answerTo(event, read.request) { headDocumentRead(read.head, it, event.stamp) }
     }
+
+private fun ControlState.headRowRead(answer: StoreAnswer, stamp: Stamp): Transition {
+    val rows = (answer as? StoreAnswer.RowsRead)?.rows.orEmpty()
+    val head = rows.row(StoreKeys.HEAD)?.value as? RowValue.Head
+    val finished = copy(headRead = HeadRead.Idle(stamp.nowMillis, head?.configId))
+    return if (head == null) finished.unchanged() else finished.fetchHeadDocument(head)
 }
 
-private fun ControlState.readDocument(head: RowValue.Head?): Transition {
-    if (head == null || head.version <= applied?.id.versionOrNone()) return unchanged()
-    val (next, request) = nextRequest(RequestOwner.DISSEMINATION)
-    return next
-        .copy(headRead = HeadRead(request, head))
-        .with(Effect.CallStore(request, StoreCommand.GetDocument(head.document)))
+private fun ControlState.headDocumentRead(head: RowValue.Head, answer: StoreAnswer, stamp: Stamp): Transition {
+    val finished = copy(headRead = HeadRead.Idle(stamp.nowMillis, head.configId))
+    return if (answer is StoreAnswer.DocumentRead) {
+        finished.offerConfig(head.configId, answer.document)
+    } else {
+        finished.unchanged()
+    }
 }
--- a/core/src/main/kotlin/boragelever/core/control/DisseminationReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/DisseminationReducer.kt
@@ -31,8 +31,6 @@
     /** Peers that wait for an acknowledgement of what is being compiled. */
     public val senders: PersistentSet<NodeId> = persistentSetOf(),
     public val behind: Behind? = null,
-    /** Configuration that this program version could not apply. */
-    public val refused: ConfigId? = null,
     /** Digest of the document that was last read from the store. */
     public val readDigest: Digest? = null,
     public val startedMillis: Long = 0,
@@ -75,10 +73,6 @@
 internal inline fun ControlState.updateSpread(change: DisseminationState.() -> DisseminationState): ControlState =
     copy(dissemination = dissemination.change())
 
-/** Configurations up to this version are of no interest: one is applied or being compiled. */
-internal val ControlState.knownVersion: ConfigVersion
-    get() = maxOf(applied?.id.versionOrNone(), pendingConfig?.id.versionOrNone())
-
 /** True if nodes hand configurations to each other; in the polling profile each node reads the store instead. */
 internal val ControlState.isPushing: Boolean
     get() = applied?.configuration?.dissemination?.profile != DisseminationProfile.POLL
@@ -106,7 +100,7 @@
     val document = waiting.resolve(push.body)
     return when {
         document != null -> waiting.offerConfig(push.id, document)
-        push.id.version > knownVersion -> waiting.pull(from, nowMillis)
+        push.id.version > knownVersion() -> waiting.pull(from, nowMillis)
         else -> waiting.unchanged()
     }
 }
@@ -127,16 +121,15 @@
 
 private fun ControlState.noteRead(event: Event.StoreAnswered): ControlState {
     val read = event.answer as? StoreAnswer.DocumentRead ?: return this
-    if (event.request.owner != RequestOwner.DISSEMINATION) return this
+    if (event.request.owner != RequestOwner.CONFIG) return this
     return updateSpread { copy(readDigest = read.document.digest()) }
 }
 
 private fun ControlState.noteRefusal(event: Event.DocumentCompiled): Transition {
     if (event.outcome !is CompileOutcome.Refused) return unchanged()
-    val refused = dissemination.behind?.id?.takeIf { it.version == event.version } ?: dissemination.refused
     val senders = dissemination.senders
     return updateSpread {
-        copy(refused = refused, senders = persistentSetOf(), waiting = waiting.remove(event.version))
+        copy(senders = persistentSetOf(), waiting = waiting.remove(event.version))
     }
         .forEach(senders) { state, peer -> state.send(peer, PeerMessage.ConfigAck(applied?.id)) }
 }
@@ -144,7 +137,8 @@
 /**
  * Forwards a newly applied configuration to the parts of the tree that this node is responsible for.
  *
- * A node that got it neither from a peer nor by its own read of the store has published it: it starts the broadcast.
+ * A node that got it neither from a peer nor by its own read of the store has published it and starts the broadcast. So
+ * does the holder of the lease with what it read, since the holder before it may have died before it pushed.
  */
 private fun ControlState.startSpreading(nowMillis: Long): Transition {
     val config = applied ?: return unchanged()
@@ -155,7 +149,7 @@
         config.id.version in spread.waiting -> spread.waiting.filterKeys {
             it <= config.id.version
         }.values.flatten().toSet()
-        config.id.digest == spread.readDigest -> emptySet()
+        config.id.digest == spread.readDigest && lease !is LeaseState.Held -> emptySet()
         else -> setOf(TreePart(TreeScope.ALL))
     }
     val done = spread.waiting.keys.filter { it <= config.id.version }
--- a/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
+++ b/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
@@ -20,10 +20,6 @@
 /** Largest exponent of the silence needed after repeated refutations. */
 private const val MAX_DOUBLINGS = 4
 
-private const val SALT_DEAD = 11
-private const val SALT_DEAD_CHOICE = 12
-private const val SALT_REGION = 13
-
 /** Sends heartbeats that are due and judges the peers that stay silent. */
 internal fun ControlState.tickDetector(stamp: Stamp): Transition =
     checkWatches(stamp.nowMillis)
@@ -118,7 +114,7 @@
     members.table.regions.filterKeys { it != identity.region }.flatMap { (region, view) ->
         val relays = members.table.relays(region, relaysPerRegion)
         val isLost = relays.isEmpty() || isUnreachable(region)
-        val extra = view.ring.entries.randomOrNull(stamp.random(SALT_REGION))?.takeIf { isLost }
+        val extra = view.ring.entries.randomOrNull(stamp.random("region"))?.takeIf { isLost }
         relays + listOfNotNull(extra?.node)
     }
 
@@ -161,10 +157,10 @@
             detector = detector.copy(
                 dead = old.fold(detector.dead) { dead, node -> dead.remove(node) },
                 nextDeadContactMillis =
-                    nowMillis + DEAD_CONTACT_MILLIS / 2 + stamp.jitter(SALT_DEAD, DEAD_CONTACT_MILLIS),
+                    nowMillis + stamp.spreadMillis("dead", DEAD_CONTACT_MILLIS),
             ),
         )
     }
-    val chosen = kept.members.detector.dead.keys.randomOrNull(stamp.random(SALT_DEAD_CHOICE)) ?: return kept.unchanged()
+    val chosen = kept.members.detector.dead.keys.randomOrNull(stamp.random("dead-choice")) ?: return kept.unchanged()
     return kept.send(chosen, PeerMessage.Heartbeat(0, applied?.id, members.table.digest))
 }
--- a/core/src/main/kotlin/boragelever/core/control/Join.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Join.kt
@@ -19,16 +19,11 @@
 /** Mean time between two contacts by which a joined node looks for nodes that none of its peers knows. */
 private const val PROBE_MILLIS = 30_000L
 
-private const val SALT_FIRST = 21
-private const val SALT_ROUND = 22
-private const val SALT_CHOICE = 23
-private const val SALT_PEER = 24
-
 internal inline fun ControlState.updateJoin(change: JoinState.() -> JoinState): ControlState =
     updateMembers { copy(join = join.change()) }
 
 internal fun ControlState.startJoin(stamp: Stamp): ControlState =
-    updateJoin { copy(nextContactMillis = stamp.nowMillis + stamp.jitter(SALT_FIRST, FIRST_CONTACT_MILLIS)) }
+    updateJoin { copy(nextContactMillis = stamp.nowMillis + stamp.jitterMillis("first-contact", FIRST_CONTACT_MILLIS)) }
 
 /** Contacts peers until one has sent its member table, and from then on a random address now and then. */
 internal fun ControlState.tickJoin(stamp: Stamp): Transition {
@@ -42,9 +37,9 @@
 
 private fun ControlState.contactRound(stamp: Stamp): Transition {
     val join = members.join
-    val boundMillis = minOf(MAX_CONTACT_JITTER_MILLIS, CONTACT_MILLIS shl minOf(join.rounds, 4))
-    val waitMillis = CONTACT_MILLIS + stamp.jitter(SALT_ROUND, boundMillis)
-    val addresses = contactAddresses.shuffled(stamp.random(SALT_CHOICE)).take(CONTACTS_PER_ROUND)
+    val jitterMillis = stamp.fullJitterMillis("contact-wait", join.rounds, CONTACT_MILLIS, MAX_CONTACT_JITTER_MILLIS)
+    val waitMillis = CONTACT_MILLIS + jitterMillis
+    val addresses = contactAddresses.shuffled(stamp.random("contact-choice")).take(CONTACTS_PER_ROUND)
     return updateJoin { copy(asked = null, rounds = rounds + 1, nextContactMillis = stamp.nowMillis + waitMillis) }
         .with(*addresses.map { Effect.ContactAddress(it) }.toTypedArray())
         .andThen { it.askKnownPeer(stamp) }
@@ -52,7 +47,7 @@
 
 private fun ControlState.askKnownPeer(stamp: Stamp): Transition {
     val own = members.table.region(identity.region).ring.entries.filter { it.node != identity.node }
-    val peer = own.randomOrNull(stamp.random(SALT_PEER))?.node ?: return unchanged()
+    val peer = own.randomOrNull(stamp.random("contact-peer"))?.node ?: return unchanged()
     return ask(peer, stamp.nowMillis)
 }
 
@@ -66,8 +61,8 @@
 }
 
 private fun ControlState.probe(stamp: Stamp): Transition {
-    val waitMillis = PROBE_MILLIS / 2 + stamp.jitter(SALT_ROUND, PROBE_MILLIS)
-    val address = contactAddresses.randomOrNull(stamp.random(SALT_CHOICE))
+    val waitMillis = stamp.spreadMillis("contact-wait", PROBE_MILLIS)
+    val address = contactAddresses.randomOrNull(stamp.random("contact-choice"))
     val next = updateJoin { copy(probed = address, nextContactMillis = stamp.nowMillis + waitMillis) }
     return if (address == null) next.unchanged() else next.with(Effect.ContactAddress(address))
 }
--- a/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
@@ -8,7 +8,6 @@
 import boragelever.core.store.RowWrite
 import boragelever.core.store.StoreAnswer
 import boragelever.core.store.StoreCommand
-import boragelever.core.store.WriteId
 
 /** Prefix of the rows that tell where nodes are. */
 internal const val MEMBER_PREFIX: String = "member/"
@@ -27,14 +26,10 @@
 private const val MIN_WRITE_SPREAD_MILLIS = 200L
 
 /** Wait between scans of a node that has found no peer. */
-private const val RESCAN_MILLIS = 1_000L
+private const val ROW_SCAN_MILLIS = 1_000L
 private const val MAX_BACKOFF_MILLIS = 30_000L
 private const val ROWS_PER_SCAN = 1_000
 private const val MAX_REMOVED_ROWS = 8
-private const val SALT_SCAN = 31
-private const val SALT_WRITE = 32
-private const val SALT_REMOVED = 33
-private const val SALT_FOUND = 34
 
 /** Addresses remembered from a scan; enough to find a live node among rows of dead ones. */
 private const val MAX_FOUND = 32
@@ -43,7 +38,7 @@
     updateMembers { copy(rows = rows.change()) }
 
 internal fun ControlState.startRows(stamp: Stamp): ControlState =
-    updateRows { copy(nextScanMillis = stamp.nowMillis + stamp.jitter(SALT_SCAN, FIRST_SCAN_MILLIS)) }
+    updateRows { copy(nextScanMillis = stamp.nowMillis + stamp.jitterMillis("member-scan", FIRST_SCAN_MILLIS)) }
 
 /** Scans the member rows and renews the own one when it is time. */
 internal fun ControlState.tickRows(stamp: Stamp): Transition {
@@ -51,31 +46,27 @@
     val isScanDue = rows.scan == null && rows.nextScanMillis.isReached(stamp.nowMillis)
     val isWriteDue = rows.write == null && rows.nextWriteMillis.isReached(stamp.nowMillis)
     return unchanged()
-        .andThenIf(isScanDue) { it.scanRows(null) }
-        .andThenIf(isWriteDue) { it.writeRow(stamp.nowMillis) }
+        .andThen { if (isScanDue && it.admitsStoreCalls()) it.scanRows(null) else it.unchanged() }
+        .andThen { if (isWriteDue && it.admitsStoreCalls()) it.writeRow(stamp) else it.unchanged() }
 }
 
 private fun Long?.isReached(nowMillis: Long): Boolean = this != null && nowMillis >= this
 
 private fun ControlState.scanRows(after: RowKey?): Transition {
-    val (next, request) = nextRequest(RequestOwner.MEMBERSHIP)
-    val command = StoreCommand.ScanRows(MEMBER_PREFIX, ROWS_PER_SCAN, after)
-    return next.updateRows { copy(scan = request, nextScanMillis = null) }.with(Effect.CallStore(request, command))
+    val call = callStore(RequestOwner.MEMBERSHIP, StoreCommand.ScanRows(MEMBER_PREFIX, ROWS_PER_SCAN, after))
+    return call.send { updateRows { copy(scan = call.request, nextScanMillis = null) } }
 }
 
-private fun ControlState.writeRow(nowMillis: Long): Transition {
+private fun ControlState.writeRow(stamp: Stamp): Transition {
     val own = members.own ?: return unchanged()
-    val (next, request) = nextRequest(RequestOwner.MEMBERSHIP)
-    val epochMillis = nowMillis + identity.epochOffsetMillis
+    val epochMillis = stamp.nowMillis + identity.epochOffsetMillis
     val value = RowValue.Member(own.node, own.incarnation, own.region, own.zone, own.peerAddress, epochMillis)
     val write = RowWrite.Put(RowKey(MEMBER_PREFIX + own.node.value), value)
-    val command = StoreCommand.Transact(writeId(request), emptyList(), listOf(write))
-    return next.updateRows { copy(write = request, nextWriteMillis = null) }.with(Effect.CallStore(request, command))
+    val command = StoreCommand.Transact(nextWriteId(stamp), emptyList(), listOf(write))
+    val call = callStore(RequestOwner.MEMBERSHIP, command)
+    return call.send { updateRows { copy(write = call.request, nextWriteMillis = null) } }
 }
 
-private fun ControlState.writeId(request: RequestId): WriteId =
-    WriteId("${identity.node}/${members.own?.incarnation}/${request.number}")
-
 /** Takes the store's answer to a scan or a write of member rows. */
 internal fun ControlState.rowsAnswered(event: Event.StoreAnswered): Transition =
     when (event.request) {
@@ -93,15 +84,15 @@
         .mapNotNull { (it.value as? RowValue.Member)?.peerAddress }
         .plus(members.join.found)
         .distinct()
-        .shuffled(stamp.random(SALT_FOUND))
+        .shuffled(stamp.random("member-choice"))
         .take(MAX_FOUND)
     val spreadMillis = maxOf(MIN_WRITE_SPREAD_MILLIS, rows.size * WRITE_SPREAD_MILLIS)
     val next = updateJoin { copy(found = found) }.updateRows {
         copy(
             scan = null,
             failures = 0,
-            nextScanMillis = stamp.nowMillis + RESCAN_MILLIS + stamp.jitter(SALT_SCAN, RESCAN_MILLIS),
-            nextWriteMillis = nextWriteMillis ?: (stamp.nowMillis + stamp.jitter(SALT_WRITE, spreadMillis)),
+            nextScanMillis = stamp.nowMillis + ROW_SCAN_MILLIS + stamp.jitterMillis("member-scan", ROW_SCAN_MILLIS),
+            nextWriteMillis = nextWriteMillis ?: (stamp.nowMillis + stamp.jitterMillis("member-write", spreadMillis)),
         )
     }
     return next.removeRows(stamp, old).andThenIf(rows.size >= ROWS_PER_SCAN) { it.scanRows(rows.last().key) }
@@ -114,19 +105,19 @@
 
 private fun ControlState.scanFailed(stamp: Stamp): ControlState {
     val failures = members.rows.failures + 1
-    val waitMillis = RESCAN_MILLIS + stamp.jitter(SALT_SCAN, backoffMillis(failures))
+    val waitMillis =
+        ROW_SCAN_MILLIS + stamp.fullJitterMillis("member-scan", failures, ROW_SCAN_MILLIS, MAX_BACKOFF_MILLIS)
     return updateRows { copy(scan = null, failures = failures, nextScanMillis = stamp.nowMillis + waitMillis) }
 }
 
-private fun backoffMillis(failures: Int): Long = minOf(MAX_BACKOFF_MILLIS, RESCAN_MILLIS shl minOf(failures, 5))
-
 private fun ControlState.writeAnswered(stamp: Stamp, answer: StoreAnswer): Transition {
     val isWritten = answer is StoreAnswer.Committed
     val failures = if (isWritten) 0 else members.rows.failures + 1
     val waitMillis = if (isWritten) {
-        ROW_RENEWAL_MILLIS - ROW_RENEWAL_JITTER_MILLIS / 2 + stamp.jitter(SALT_WRITE, ROW_RENEWAL_JITTER_MILLIS)
+        ROW_RENEWAL_MILLIS - ROW_RENEWAL_JITTER_MILLIS / 2 +
+            stamp.jitterMillis("member-write", ROW_RENEWAL_JITTER_MILLIS)
     } else {
-        RESCAN_MILLIS + stamp.jitter(SALT_WRITE, backoffMillis(failures))
+        ROW_SCAN_MILLIS + stamp.fullJitterMillis("member-write", failures, ROW_SCAN_MILLIS, MAX_BACKOFF_MILLIS)
     }
     return updateRows {
         copy(write = null, failures = failures, nextWriteMillis = stamp.nowMillis + waitMillis)
@@ -135,12 +126,11 @@
 
 /** Removes some of the [old] rows if nobody has renewed them; the answer does not matter. */
 private fun ControlState.removeRows(stamp: Stamp, old: List<Row>): Transition {
-    val chosen = old.shuffled(stamp.random(SALT_REMOVED)).take(MAX_REMOVED_ROWS)
+    val chosen = old.shuffled(stamp.random("member-removal")).take(MAX_REMOVED_ROWS)
     if (chosen.isEmpty()) return unchanged()
-    val (next, request) = nextRequest(RequestOwner.MEMBERSHIP)
     val conditions = chosen.map { RowCondition.RevisionIs(it.key, it.revision) }
-    val writes = chosen.map { RowWrite.Delete(it.key) }
-    return next.with(Effect.CallStore(request, StoreCommand.Transact(next.writeId(request), conditions, writes)))
+    val command = StoreCommand.Transact(nextWriteId(stamp), conditions, chosen.map { RowWrite.Delete(it.key) })
+    return callStore(RequestOwner.MEMBERSHIP, command).send { this }
 }
 
 /** Stops the scans once the node has peers, and starts them again when it has lost them all. */
--- a/core/src/main/kotlin/boragelever/core/control/MembershipReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MembershipReducer.kt
@@ -2,8 +2,6 @@
 
 import boragelever.core.Stamp
 
-private const val SALT_HEARTBEAT = 1
-
 internal fun reduceMembership(state: ControlState, event: Event): Transition =
     when (event) {
         is Event.Started -> state.startMembership(event.stamp).unchanged()
@@ -26,7 +24,7 @@
         callAddress = identity.callAddress,
     )
     val table = members.table.put(Member(own, MemberStatus.ALIVE, stamp.nowMillis))
-    val firstMillis = stamp.nowMillis + stamp.jitter(SALT_HEARTBEAT, HEARTBEAT_MILLIS)
+    val firstMillis = stamp.nowMillis + stamp.jitterMillis("heartbeat", HEARTBEAT_MILLIS)
     return updateMembers { copy(own = own, table = table) }
         .updateDetector { copy(nextHeartbeatMillis = firstMillis) }
         .startJoin(stamp)
--- a/core/src/test/kotlin/boragelever/core/control/FakeStore.kt
+++ b/core/src/test/kotlin/boragelever/core/control/FakeStore.kt
@@ -10,6 +10,7 @@
 import boragelever.core.store.ObjectKey
 import boragelever.core.store.Revision
 import boragelever.core.store.Row
+import boragelever.core.store.RowCondition
 import boragelever.core.store.RowKey
 import boragelever.core.store.RowValue
 import boragelever.core.store.RowWrite
@@ -18,7 +19,7 @@
 import boragelever.core.store.StoreFailure
 import boragelever.core.store.WriteId
 
-/** Rows and documents as far as the reducers under test use them; conditions always hold. */
+/** Rows and documents as far as the reducers under test use them. */
 internal class FakeStore {
     val rows = sortedMapOf<String, Row>()
     val documents = mutableMapOf<ObjectKey, ConfigDocument>()
@@ -40,18 +41,27 @@
             is StoreCommand.ReadRows -> StoreAnswer.RowsRead(command.keys.mapNotNull { rows[it.value] })
             is StoreCommand.GetDocument ->
                 documents[command.key]?.let { StoreAnswer.DocumentRead(it) } ?: StoreAnswer.ObjectMissing
-            is StoreCommand.Transact -> {
-                command.writes.forEach { write ->
-                    when (write) {
-                        is RowWrite.Put -> put(write.key.value, write.value)
-                        is RowWrite.Delete -> rows.remove(write.key.value)
-                    }
-                }
-                StoreAnswer.Committed(command.writes.mapNotNull { rows[it.key.value] })
-            }
+            is StoreCommand.Transact -> transact(command)
             else -> error("not used: $command")
         }
     }
+
+    private fun transact(command: StoreCommand.Transact): StoreAnswer {
+        val holds = command.conditions.all { condition ->
+            when (condition) {
+                is RowCondition.Absent -> condition.key.value !in rows
+                is RowCondition.RevisionIs -> rows[condition.key.value]?.revision == condition.revision
+            }
+        }
+        if (!holds) return StoreAnswer.Conflicted(command.conditions.mapNotNull { rows[it.key.value] })
+        command.writes.forEach { write ->
+            when (write) {
+                is RowWrite.Put -> put(write.key.value, write.value)
+                is RowWrite.Delete -> rows.remove(write.key.value)
+            }
+        }
+        return StoreAnswer.Committed(command.writes.mapNotNull { rows[it.key.value] })
+    }
 }
 
 /** A document with one service and one route, and an entry that differs in each version. */
