Encode peer messages as CBOR frames

Each frame holds the kind beside the message bytes, so that a kind which only a newer program version knows is skipped while malformed bytes close the connection.

--- /dev/null
+++ b/wire/src/main/kotlin/boragelever/wire/MessageKind.kt
@@ -0,0 +1,58 @@
+package boragelever.wire
+
+import boragelever.core.control.PeerMessage
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+
+/** A kind of message: its name on the wire and how it is encoded. */
+@OptIn(ExperimentalSerializationApi::class)
+internal class MessageKind<T : PeerMessage>(val serializer: KSerializer<T>) {
+    val wireName: String = serializer.descriptor.serialName
+
+    /** The serializer for a message that [of] found to be of this kind. */
+    @Suppress("UNCHECKED_CAST") // `of` pairs each message type with its own kind.
+    fun encoder(): KSerializer<PeerMessage> = serializer as KSerializer<PeerMessage>
+
+    companion object {
+        private val heartbeat = MessageKind(PeerMessage.Heartbeat.serializer())
+        private val heartbeatAck = MessageKind(PeerMessage.HeartbeatAck.serializer())
+        private val configPush = MessageKind(PeerMessage.ConfigPush.serializer())
+        private val configAck = MessageKind(PeerMessage.ConfigAck.serializer())
+        private val configPull = MessageKind(PeerMessage.ConfigPull.serializer())
+        private val memberUpdate = MessageKind(PeerMessage.MemberUpdate.serializer())
+        private val memberAck = MessageKind(PeerMessage.MemberAck.serializer())
+        private val memberSummary = MessageKind(PeerMessage.MemberSummary.serializer())
+        private val memberPull = MessageKind(PeerMessage.MemberPull.serializer())
+        private val quarantineUpdate = MessageKind(PeerMessage.QuarantineUpdate.serializer())
+
+        private val byName: Map<String, MessageKind<out PeerMessage>> =
+            listOf(
+                heartbeat,
+                heartbeatAck,
+                configPush,
+                configAck,
+                configPull,
+                memberUpdate,
+                memberAck,
+                memberSummary,
+                memberPull,
+                quarantineUpdate,
+            ).associateBy { it.wireName }
+
+        fun named(wireName: String): MessageKind<out PeerMessage>? = byName[wireName]
+
+        fun of(message: PeerMessage): MessageKind<out PeerMessage> =
+            when (message) {
+                is PeerMessage.Heartbeat -> heartbeat
+                is PeerMessage.HeartbeatAck -> heartbeatAck
+                is PeerMessage.ConfigPush -> configPush
+                is PeerMessage.ConfigAck -> configAck
+                is PeerMessage.ConfigPull -> configPull
+                is PeerMessage.MemberUpdate -> memberUpdate
+                is PeerMessage.MemberAck -> memberAck
+                is PeerMessage.MemberSummary -> memberSummary
+                is PeerMessage.MemberPull -> memberPull
+                is PeerMessage.QuarantineUpdate -> quarantineUpdate
+            }
+    }
+}
--- /dev/null
+++ b/wire/src/test/kotlin/boragelever/wire/PeerFrameTest.kt
@@ -0,0 +1,111 @@
+package boragelever.wire
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Digest
+import boragelever.core.NodeId
+import boragelever.core.config.ConfigId
+import boragelever.core.control.PeerMessage
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Named.named
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments
+import org.junit.jupiter.params.provider.Arguments.arguments
+import org.junit.jupiter.params.provider.MethodSource
+
+/** Guards against frames that crash the receiver, and against an upgrade that cuts adjacent program versions off. */
+class PeerFrameTest {
+    @ParameterizedTest
+    @MethodSource("frames")
+    fun `bytes decode to the expected frame or error`(bytes: ByteArray, expected: Any) {
+        val outcome = framePayload(bytes).flatMap { decodeFrame(it) }
+        assertEquals(expected, outcome.get() ?: outcome.getError())
+    }
+
+    private companion object {
+        val from = NodeId("khomas-a-1")
+        val heartbeat = PeerMessage.Heartbeat(7, ConfigId(ConfigVersion(3), Digest("ab")), 42)
+        val known = bytesOf(PeerFrame(PROTOCOL_VERSION, from, heartbeat))
+
+        @JvmStatic
+        fun frames(): List<Arguments> =
+            listOf(
+                row("own version", known, knownFrame(PROTOCOL_VERSION)),
+                row("older version", bytesOf(frame(PROTOCOL_VERSION - 1)), knownFrame(PROTOCOL_VERSION - 1)),
+                row("newer version", bytesOf(frame(PROTOCOL_VERSION + 1)), knownFrame(PROTOCOL_VERSION + 1)),
+                row("newer version with an added field", newer("hb", addedField()), knownFrame(2)),
+                row("newer version with an added kind", newer("new", byteArrayOf()), skipped("new")),
+                row("newer version with an undecodable kind", newer("hb", byteArrayOf(1)), skipped("hb")),
+                row(
+                    "own version with an unknown kind",
+                    newer("new", byteArrayOf(), 1),
+                    malformed("message kind 'new' is unknown"),
+                ),
+                row(
+                    "own version with a bad message",
+                    newer("hb", byteArrayOf(1), 1),
+                    malformed("message of kind 'hb'"),
+                ),
+                row("no CBOR", byteArrayOf(0, 0, 0, 2, -1, -1), malformed("no frame header")),
+                row("empty payload", byteArrayOf(0, 0, 0, 0), malformed("no frame header")),
+                row("no length", byteArrayOf(0, 0), FrameError.Truncated(4, 2)),
+                row(
+                    "cut short",
+                    known.copyOf(known.size - 1),
+                    FrameError.Truncated(known.size - 4, known.size - 5),
+                ),
+                row("oversized", byteArrayOf(0, 64, 0, 1), FrameError.Oversized(MAX_FRAME_BYTES + 1)),
+                row("negative length", byteArrayOf(-1, -1, -1, -1), FrameError.Oversized(-1)),
+            )
+
+        fun row(name: String, bytes: ByteArray, expected: Any): Arguments =
+            arguments(named(name, bytes), expected)
+
+        fun frame(version: Int) = PeerFrame(version, from, heartbeat)
+
+        fun knownFrame(version: Int) = DecodedFrame.Known(frame(version))
+
+        fun skipped(kind: String) = DecodedFrame.Skipped(2, from, kind)
+
+        fun malformed(reason: String) = FrameError.Malformed(reason)
+
+        fun bytesOf(frame: PeerFrame): ByteArray = encodeFrame(frame).get()!!
+
+        @OptIn(ExperimentalSerializationApi::class)
+        fun newer(kind: String, message: ByteArray, version: Int = 2): ByteArray =
+            withLengthField(
+                cbor.encodeToByteArray(NewerFrame.serializer(), NewerFrame(version, from, kind, message, "x")),
+            ).get()!!
+
+        @OptIn(ExperimentalSerializationApi::class)
+        fun addedField(): ByteArray =
+            cbor.encodeToByteArray(
+                NewerHeartbeat.serializer(),
+                NewerHeartbeat(heartbeat.number, listOf(1), heartbeat.config, heartbeat.membersDigest),
+            )
+    }
+
+    @Serializable
+    @OptIn(ExperimentalSerializationApi::class)
+    private class NewerFrame(
+        val v: Int,
+        val f: NodeId,
+        val k: String,
+        @ByteString val m: ByteArray,
+        @SerialName("added") val added: String,
+    )
+
+    @Serializable
+    private class NewerHeartbeat(
+        val number: Long,
+        val added: List<Int>,
+        val config: ConfigId?,
+        val membersDigest: Long,
+    )
+}
