--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/routing/EndpointSelection.kt
@@ -0,0 +1,112 @@
+package boragelever.core.routing
+
+import boragelever.core.InstanceId
+import boragelever.core.Stamp
+import boragelever.core.config.CrossRegion
+import boragelever.core.config.LocalityConfig
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.random.Random
+
+/** What the traffic threads of this node know about one endpoint at one moment. */
+public data class EndpointStats(
+    /** Calls of this node in flight to the endpoint. */
+    public val inFlight: Int = 0,
+    /** Calls in flight that the endpoint reported of late; 0 if the report is too old to use. */
+    public val reportedInFlight: Int = 0,
+    /** Monotonic time in milliseconds until which the endpoint is ejected; 0 if it is not. */
+    public val ejectedUntilMillis: Long = 0,
+)
+
+/** Read access to the endpoint statistics of the traffic threads. */
+public fun interface EndpointView {
+    /** Returns the statistics of an instance, or the defaults for one that has carried no call. */
+    public fun statsOf(instance: InstanceId): EndpointStats
+}
+
+/** Smallest share of its slots that a new endpoint counts with, so that it gets some traffic at once. */
+private const val SLOW_START_FLOOR = 0.1
+
+/**
+ * Chooses the endpoint for one attempt, or returns `null` if the service has none that this call may still use.
+ *
+ * The nearest tier is used until its slots are busy to the configured share; beyond that, calls move to the next tier
+ * in proportion to the free slots there. Within a tier the less loaded of two random endpoints is taken.
+ *
+ * @param excluded instances that this call has already tried.
+ */
+public fun selectEndpoint(
+    service: CompiledService,
+    view: EndpointView,
+    stamp: Stamp,
+    excluded: Set<InstanceId> = emptySet(),
+): Endpoint? {
+    val random = Random(stamp.seed)
+    val candidates = usable(service, view, stamp.nowMillis)
+    val inRegion = candidates.filter { it.endpoint.tier != LocalityTier.OTHER_REGION }
+    val permitted = when (service.config.locality.crossRegion) {
+        CrossRegion.SPILL -> candidates
+        CrossRegion.LAST_RESORT -> inRegion.ifEmpty { candidates }
+        CrossRegion.NEVER -> inRegion
+    }
+    val open = permitted.filter { it.endpoint.instance !in excluded }
+    val preferred = open.filter { it.endpoint.trusted }.ifEmpty { open }
+    val tier = chooseTier(preferred, service.config.locality, random)
+    return chooseByLoad(tier, random)?.endpoint
+}
+
+/** An endpoint with the load and the capacity that this node attributes to it. */
+private class Candidate(val endpoint: Endpoint, val load: Int, val capacity: Double) {
+    val freeSlots: Double get() = max(0.0, capacity - load)
+
+    /** Share of the capacity that is busy once the call is added. */
+    val pressure: Double get() = (load + 1) / capacity
+}
+
+/** Leaves out ejected endpoints, unless so few remain that ejection would concentrate the load on them. */
+private fun usable(service: CompiledService, view: EndpointView, nowMillis: Long): List<Candidate> {
+    val known = service.endpoints.map { it to view.statsOf(it.instance) }
+    val healthy = known.filter { (_, stats) -> stats.ejectedUntilMillis <= nowMillis }
+    val panic = healthy.size * 100 < known.size * service.config.outlier.panicPercent
+    return (if (panic) known else healthy).map { (endpoint, stats) ->
+        Candidate(
+            endpoint = endpoint,
+            load = max(stats.inFlight, stats.reportedInFlight),
+            capacity = endpoint.slots * warmth(endpoint, service.config.slowStartMillis, nowMillis),
+        )
+    }
+}
+
+private fun warmth(endpoint: Endpoint, slowStartMillis: Long, nowMillis: Long): Double {
+    if (slowStartMillis <= 0) return 1.0
+    val share = (nowMillis - endpoint.servingSinceMillis).toDouble() / slowStartMillis
+    return min(1.0, max(SLOW_START_FLOOR, share))
+}
+
+private fun chooseTier(candidates: List<Candidate>, locality: LocalityConfig, random: Random): List<Candidate> {
+    val tiers = candidates.groupBy { it.endpoint.tier }.toSortedMap().values.toList()
+    for ((index, tier) in tiers.withIndex()) {
+        val next = tiers.getOrNull(index + 1) ?: return tier
+        if (random.nextDouble() >= spillShare(tier, next, locality.spillPercent)) return tier
+    }
+    return emptyList()
+}
+
+/** Probability of leaving [tier] for [next]: 0 below the spill threshold, 1 once only [next] has free slots. */
+private fun spillShare(tier: List<Candidate>, next: List<Candidate>, spillPercent: Int): Double {
+    val capacity = tier.sumOf { it.capacity }
+    val free = tier.sumOf { it.freeSlots }
+    val threshold = spillPercent / 100.0
+    val busy = 1 - free / capacity
+    if (busy < threshold) return 0.0
+    val urgency = if (threshold >= 1) 1.0 else (busy - threshold) / (1 - threshold)
+    val offered = urgency * next.sumOf { it.freeSlots }
+    return if (offered <= 0) 0.0 else offered / (offered + free)
+}
+
+private fun chooseByLoad(tier: List<Candidate>, random: Random): Candidate? {
+    if (tier.size <= 1) return tier.firstOrNull()
+    val first = random.nextInt(tier.size)
+    val second = (first + 1 + random.nextInt(tier.size - 1)) % tier.size
+    return if (tier[second].pressure < tier[first].pressure) tier[second] else tier[first]
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/routing/RouteMatching.kt
@@ -0,0 +1,44 @@
+package boragelever.core.routing
+
+import boragelever.core.ServiceName
+import kotlin.random.Random
+
+/** The parts of a request that decide its route. */
+public data class RequestFacts(
+    public val method: String,
+    /** Host without port, or `null` if the request names none. */
+    public val host: String?,
+    /** Path without query. */
+    public val path: String,
+)
+
+/** Returns the first route of [snapshot] that matches [facts], or `null` if there is none. */
+public fun matchRoute(snapshot: RoutingSnapshot, facts: RequestFacts): CompiledRoute? =
+    snapshot.routes.firstOrNull { it.matches(facts) }
+
+/**
+ * Chooses the service of a call by weight, or returns `null` if no destination has a positive weight.
+ *
+ * Services without an endpoint are passed over as long as another destination has one.
+ */
+public fun chooseDestination(snapshot: RoutingSnapshot, route: CompiledRoute, seed: Long): ServiceName? {
+    val weighted = route.destinations.filter { it.weight > 0 }
+    val served = weighted.filter { !snapshot.services[it.service]?.endpoints.isNullOrEmpty() }
+    val candidates = served.ifEmpty { weighted }
+    if (candidates.size <= 1) return candidates.firstOrNull()?.service
+    var ticket = Random(seed).nextInt(candidates.sumOf { it.weight })
+    return candidates.first { candidate ->
+        ticket -= candidate.weight
+        ticket < 0
+    }.service
+}
+
+private fun CompiledRoute.matches(facts: RequestFacts): Boolean =
+    (config.methods.isEmpty() || facts.method in config.methods) &&
+        (config.host == null || config.host.equals(facts.host, ignoreCase = true)) &&
+        isPathPrefix(config.pathPrefix, facts.path)
+
+/** A prefix ends at a segment boundary, so that `/scan` does not capture `/scanner`. */
+private fun isPathPrefix(prefix: String, path: String): Boolean =
+    path.startsWith(prefix) &&
+        (prefix.endsWith('/') || path.length == prefix.length || path[prefix.length] == '/')
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxySettings.kt
@@ -0,0 +1,33 @@
+package boragelever.node.proxy
+
+import boragelever.core.NodeId
+
+/** Settings of the traffic side of a node. Limits that operators change at run time are in the configuration. */
+public data class ProxySettings(
+    public val node: NodeId,
+    /** IP number on which both ports listen. */
+    public val bindHost: String = "0.0.0.0",
+    /** Port for callers; 0 takes any free port. */
+    public val proxyPort: Int = 0,
+    /** Port for the last hop of calls from other nodes; 0 takes any free port. */
+    public val hopPort: Int = 0,
+    /** Threads that carry calls. */
+    public val threads: Int = 2,
+    /** Time for a new connection to a node or an upstream. */
+    public val connectTimeoutMillis: Long = 1_000,
+    /** Time in which a sender has to deliver the head of a message, and each further part of its body. */
+    public val receiveTimeoutMillis: Long = 10_000,
+    /** Time after which an unused connection from a caller is closed. */
+    public val callerIdleMillis: Long = 75_000,
+    /** Time after which an unused connection to a node or an upstream is closed. */
+    public val pooledIdleMillis: Long = 10_000,
+    /** Age at which a connection to a node or an upstream is no longer reused. */
+    public val connectionMaxAgeMillis: Long = 300_000,
+    /** Largest number of unused connections kept for each node or upstream. */
+    public val maxPooledPerTarget: Int = 32,
+    /** Request bodies up to this size are held for digests and retries. */
+    public val heldBodyBytes: Int = 65_536,
+)
+
+/** Ports on which the proxy listens. */
+public data class ProxyPorts(public val proxy: Int, public val hop: Int)
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyTelemetry.kt
@@ -0,0 +1,81 @@
+package boragelever.node.proxy
+
+import boragelever.core.InstanceId
+import boragelever.core.RouteName
+import boragelever.core.ServiceName
+import boragelever.core.call.Outcome
+import boragelever.core.routing.LocalityTier
+
+/** Which part of a node carries a call. */
+public enum class HopKind {
+    /** The node that the caller sent the call to. */
+    CALLING,
+
+    /** The node beside the upstream. */
+    LAST,
+}
+
+/** What is known of a call when its head has been read. */
+public data class CallDescription(
+    public val kind: HopKind,
+    public val method: String,
+    public val path: String,
+    /** W3C `traceparent` as received, or `null`. */
+    public val traceparent: String?,
+)
+
+/** What is known of a call when it has ended. */
+public data class CallSummary(
+    public val statusCode: Int,
+    public val outcome: Outcome?,
+    public val durationNanos: Long,
+    public val attempts: Int,
+    public val route: RouteName? = null,
+    public val service: ServiceName? = null,
+    public val tier: LocalityTier? = null,
+    /** False if the caller's connection was ended abnormally or the caller was gone. */
+    public val whole: Boolean = true,
+)
+
+/** Records spans and metrics of calls. Called on traffic threads; must not block. */
+public interface ProxyTelemetry {
+    /** Starts the span of one hop. */
+    public fun callStarted(call: CallDescription): CallTrace
+
+    public companion object {
+        /** Records nothing and carries a received `traceparent` on unchanged. */
+        public val NONE: ProxyTelemetry = SilentTelemetry
+    }
+}
+
+/** The span of one hop of a call. */
+public interface CallTrace {
+    /** Starts the span of one attempt. */
+    public fun attemptStarted(number: Int, instance: InstanceId): AttemptTrace
+
+    /** Ends the span and records the metrics of the call. */
+    public fun ended(summary: CallSummary)
+}
+
+/** The span of one attempt. */
+public interface AttemptTrace {
+    /** W3C `traceparent` to send with the attempt, or `null`. */
+    public val traceparent: String?
+
+    /** Ends the span; [result] is the status code or the kind of failure. */
+    public fun ended(result: String, outcome: Outcome?)
+}
+
+private object SilentTelemetry : ProxyTelemetry {
+    override fun callStarted(call: CallDescription): CallTrace =
+        object : CallTrace {
+            override fun attemptStarted(number: Int, instance: InstanceId): AttemptTrace =
+                object : AttemptTrace {
+                    override val traceparent: String? = call.traceparent
+
+                    override fun ended(result: String, outcome: Outcome?) = Unit
+                }
+
+            override fun ended(summary: CallSummary) = Unit
+        }
+}
