--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/EffectRunner.kt
@@ -0,0 +1,88 @@
+package boragelever.node
+
+import boragelever.core.config.ConfigError
+import boragelever.core.config.render
+import boragelever.core.control.CompileOutcome
+import boragelever.core.control.Effect
+import boragelever.core.control.Event
+import boragelever.core.control.MergeOutcome
+import boragelever.core.routing.RoutingSnapshot
+import boragelever.node.peer.PeerTransport
+import boragelever.platform.ConfigFolder
+import boragelever.yaml.compileDocument
+import boragelever.yaml.loadFolder
+import com.github.michaelbull.result.fold
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import java.util.concurrent.atomic.AtomicReference
+
+private val log = KotlinLogging.logger {}
+
+/** What effects act on. */
+internal class EffectTargets(
+    val store: MeteredPlatform,
+    val folder: ConfigFolder,
+    val transport: PeerTransport,
+    val snapshots: AtomicReference<RoutingSnapshot?>,
+    val notices: NoticeCounts,
+    val exit: () -> Unit,
+)
+
+/** Starts effects. Whatever takes time runs in a coroutine of [scope], and its result comes back through [submit]. */
+internal class EffectRunner(
+    private val targets: EffectTargets,
+    private val scope: CoroutineScope,
+    private val submit: suspend (UnstampedEvent) -> Unit,
+) {
+    /** Starts [effect]. Does not block. */
+    fun start(effect: Effect) {
+        when (effect) {
+            is Effect.CallStore -> inBackground {
+                val answer = targets.store.execute(effect.command)
+                submit { Event.StoreAnswered(it, effect.request, answer) }
+            }
+            is Effect.ListFolder -> inBackground {
+                val answer = targets.folder.list()
+                submit { Event.FolderAnswered(it, effect.request, answer) }
+            }
+            is Effect.ReadFolder -> inBackground {
+                val answer = targets.folder.read(effect.names)
+                submit { Event.FolderAnswered(it, effect.request, answer) }
+            }
+            is Effect.MergeFolder -> inBackground {
+                val outcome = merge(effect)
+                submit { Event.FolderMerged(it, effect.request, outcome) }
+            }
+            is Effect.CompileDocument -> inBackground {
+                val outcome = compile(effect)
+                submit { Event.DocumentCompiled(it, effect.version, outcome) }
+            }
+            is Effect.InstallSnapshot -> targets.snapshots.set(effect.snapshot)
+            is Effect.SendToPeer -> targets.transport.send(effect.peer, effect.address, effect.message)
+            is Effect.ContactAddress -> targets.transport.contact(effect.address)
+            is Effect.ClosePeer -> targets.transport.disconnect(effect.peer)
+            is Effect.Report -> {
+                targets.notices.count(effect.notice)
+                log.write(logLine(effect.notice))
+            }
+            is Effect.Exit -> targets.exit()
+        }
+    }
+
+    private fun inBackground(work: suspend () -> Unit) {
+        scope.launch { work() }
+    }
+}
+
+private fun merge(effect: Effect.MergeFolder): MergeOutcome =
+    loadFolder(effect.files).fold(
+        success = { MergeOutcome.Merged(it.document) },
+        failure = { errors -> MergeOutcome.Rejected(errors.map(ConfigError::render)) },
+    )
+
+private fun compile(effect: Effect.CompileDocument): CompileOutcome =
+    compileDocument(effect.document).fold(
+        success = { CompileOutcome.Compiled(it) },
+        failure = { errors -> CompileOutcome.Refused(errors.map(ConfigError::render)) },
+    )
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/NoticeCounts.kt
@@ -0,0 +1,46 @@
+package boragelever.node
+
+import boragelever.core.config.ConfigId
+import boragelever.core.control.Notice
+import java.util.concurrent.atomic.AtomicReference
+import java.util.concurrent.atomic.LongAdder
+
+/** A configuration and the monotonic time in milliseconds at which this node applied it. */
+internal data class AppliedAt(val id: ConfigId, val atMillis: Long)
+
+/** What the notices of the control state add up to; read by status and metrics. */
+internal class NoticeCounts(private val clock: Clock) {
+    val applied = LongAdder()
+    val refused = LongAdder()
+    val rejectedFolders = LongAdder()
+    val published = LongAdder()
+
+    /** The last applied configuration, or `null` before the first. */
+    val lastApplied = AtomicReference<AppliedAt?>(null)
+
+    /** Errors of the last folder that this node rejected while it published; empty after it published one. */
+    val folderErrors = AtomicReference<List<String>>(emptyList())
+
+    fun count(notice: Notice) {
+        when (notice) {
+            is Notice.ConfigApplied -> {
+                applied.increment()
+                lastApplied.set(AppliedAt(notice.id, clock.nowMillis()))
+            }
+            is Notice.ConfigRefused -> refused.increment()
+            is Notice.ConfigPublished -> {
+                published.increment()
+                folderErrors.set(emptyList())
+            }
+            is Notice.FolderRejected -> {
+                rejectedFolders.increment()
+                folderErrors.set(notice.errors)
+            }
+            is Notice.FolderUnreadable -> folderErrors.set(listOf(notice.message))
+            is Notice.PublishOverruled, is Notice.LeaseAcquired, is Notice.LeaseLost, is Notice.StoreUnreachable,
+            is Notice.StoreReachable, is Notice.MemberChanged, is Notice.Quarantined, is Notice.Resumed,
+            is Notice.Draining,
+            -> Unit
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/NoticeLog.kt
@@ -0,0 +1,51 @@
+package boragelever.node
+
+import boragelever.core.config.ConfigId
+import boragelever.core.control.MemberStatus
+import boragelever.core.control.Notice
+import io.github.oshai.kotlinlogging.KLogger
+
+/** Level and text of the log line for a notice. */
+internal sealed interface LogLine {
+    val text: String
+
+    data class Info(override val text: String) : LogLine
+
+    data class Warning(override val text: String) : LogLine
+}
+
+/** Writes [line] to this logger. */
+internal fun KLogger.write(line: LogLine) {
+    when (line) {
+        is LogLine.Info -> info { line.text }
+        is LogLine.Warning -> warn { line.text }
+    }
+}
+
+/** Returns the log line for a notice; the prefix names the part of the node. */
+internal fun logLine(notice: Notice): LogLine =
+    when (notice) {
+        is Notice.ConfigApplied -> LogLine.Info("[config] ${notice.id.short()} is in force")
+        is Notice.ConfigRefused ->
+            LogLine.Warning("[config] ${notice.id.short()} cannot be applied: ${notice.errors.joinToString("; ")}")
+        is Notice.ConfigPublished -> LogLine.Info("[publish] ${notice.id.short()} is published in ${notice.epoch}")
+        is Notice.FolderRejected ->
+            LogLine.Warning("[publish] the folder is rejected: ${notice.errors.joinToString("; ")}")
+        is Notice.FolderUnreadable -> LogLine.Warning("[publish] the folder cannot be read: ${notice.message}")
+        is Notice.PublishOverruled -> LogLine.Warning("[publish] a newer lease holder overruled ${notice.epoch}")
+        is Notice.LeaseAcquired -> LogLine.Info("[lease] this node publishes in ${notice.epoch}")
+        is Notice.LeaseLost -> LogLine.Warning("[lease] ${notice.epoch} is lost")
+        is Notice.StoreUnreachable -> LogLine.Warning("[store] the store cannot be reached: ${notice.failure.message}")
+        is Notice.StoreReachable -> LogLine.Info("[store] the store answers")
+        is Notice.MemberChanged -> LogLine.Info("[peer] ${notice.node} is ${notice.status.word()}")
+        is Notice.Quarantined ->
+            LogLine.Warning("[proxy] ${notice.fingerprint} is refused after ${notice.deaths} deaths of upstreams")
+        is Notice.Resumed -> LogLine.Warning("[node] the process was paused for ${notice.pausedMillis} ms")
+        is Notice.Draining -> LogLine.Info("[node] no new work is taken")
+    }
+
+internal fun MemberStatus.word(): String = name.lowercase()
+
+internal fun ConfigId.short(): String = "$version (${digest.value.take(SHORT_DIGEST_CHARS)})"
+
+private const val SHORT_DIGEST_CHARS = 12
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
@@ -0,0 +1,135 @@
+package boragelever.node.peer
+
+import boragelever.core.NodeId
+import boragelever.core.control.MemberRecord
+import boragelever.core.control.PeerMessage
+import boragelever.wire.FrameError
+import boragelever.wire.LENGTH_FIELD_BYTES
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.cancel
+import io.ktor.utils.io.readFully
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.Job
+
+/** Why a connection ended. */
+internal sealed interface CloseReason {
+    /** The other end closed, or the connection broke. */
+    data object Lost : CloseReason
+
+    /** Nothing was sent for a long time. */
+    data object Idle : CloseReason
+
+    /** An answer was due and nothing arrived. */
+    data object Silent : CloseReason
+
+    /** Another connection to the same peer took its place. */
+    data object Replaced : CloseReason
+
+    /** The control state asked for it, or the node stops. */
+    data object Requested : CloseReason
+
+    /** The peer sent something that must not be read on. */
+    data class Refused(val error: FrameError) : CloseReason
+}
+
+/** A socket that carries frames. */
+internal class FrameSocket(private val socket: Socket) {
+    private val input: ByteReadChannel = socket.openReadChannel()
+    private val output: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
+
+    /** Reads the payload of one frame of at most [maxBytes]; throws when the connection ends. */
+    suspend fun read(maxBytes: Int): Result<ByteArray, FrameError> {
+        val sizeBytes = input.readInt()
+        if (sizeBytes !in 0..maxBytes) return Err(FrameError.Oversized(sizeBytes))
+        val payload = ByteArray(sizeBytes)
+        input.readFully(payload)
+        return Ok(payload)
+    }
+
+    /** Writes one frame with its length field; throws when the connection ends. */
+    suspend fun write(frame: ByteArray) {
+        output.writeFully(frame)
+        output.flush()
+    }
+
+    /** Ends the connection in both directions. */
+    fun close() {
+        input.cancel()
+        socket.close()
+    }
+}
+
+/** An open connection to [record]'s node whose handshake is done. */
+internal class PeerConnection(
+    val record: MemberRecord,
+    val dialledBy: NodeId,
+    val socket: FrameSocket,
+    private val sameRegion: Boolean,
+    private val bytes: TrafficBytes,
+    nowMillis: Long,
+) {
+    val peer: NodeId get() = record.node
+
+    /** Time of the last frame in either direction. */
+    @Volatile
+    var activeMillis: Long = nowMillis
+        private set
+
+    /** Time at which the oldest message was sent that an answer is due for, or `null`. */
+    @Volatile
+    var awaitingSinceMillis: Long? = null
+        private set
+
+    @Volatile
+    private var job: Job? = null
+
+    /** Why the connection was closed from this end, or `null`. */
+    @Volatile
+    var closeReason: CloseReason? = null
+        private set
+
+    /** Sets the coroutine that reads from the connection; closing cancels it. */
+    fun servedBy(reader: Job) {
+        job = reader
+        if (closeReason != null) reader.cancel()
+    }
+
+    /** Ends the connection. Any thread may call it; the first reason counts. */
+    fun close(reason: CloseReason) {
+        if (closeReason == null) closeReason = reason
+        job?.cancel()
+        socket.close()
+    }
+
+    /** Records a received payload. */
+    fun received(payload: ByteArray, nowMillis: Long) {
+        bytes.received(payload.size + LENGTH_FIELD_BYTES, sameRegion)
+        awaitingSinceMillis = null
+        activeMillis = nowMillis
+    }
+
+    /** Writes the encoded [frame] of [message]. */
+    suspend fun write(message: PeerMessage, frame: ByteArray, nowMillis: Long) {
+        if (message.expectsAnswer() && awaitingSinceMillis == null) awaitingSinceMillis = nowMillis
+        socket.write(frame)
+        bytes.sent(frame.size, sameRegion)
+        activeMillis = nowMillis
+    }
+}
+
+/** Tells whether a live receiver always answers the message. */
+private fun PeerMessage.expectsAnswer(): Boolean =
+    when (this) {
+        is PeerMessage.Heartbeat, is PeerMessage.ConfigPush, is PeerMessage.MemberUpdate -> true
+        is PeerMessage.HeartbeatAck, is PeerMessage.ConfigAck, is PeerMessage.ConfigPull, is PeerMessage.MemberAck,
+        is PeerMessage.MemberSummary, is PeerMessage.MemberPull, is PeerMessage.QuarantineUpdate,
+        -> false
+    }
--- /dev/null
+++ b/node/src/test/kotlin/boragelever/node/peer/PeerTransportTest.kt
@@ -0,0 +1,135 @@
+package boragelever.node.peer
+
+import boragelever.core.Incarnation
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.ZoneName
+import boragelever.core.control.MemberRecord
+import boragelever.core.control.PeerMessage
+import boragelever.node.Clock
+import boragelever.wire.SharedKey
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.net.ServerSocket
+import kotlin.random.Random
+
+/** Guards against lost messages, connections that stay double or silent, and peers without the shared key. */
+class PeerTransportTest {
+    @ParameterizedTest
+    @CsvSource("a dials,false", "both dial at once,true")
+    fun `both ends settle on one connection and messages arrive`(case: String, both: Boolean) =
+        runBlocking {
+            Peer("a", "khomas").use { a ->
+                Peer("b", "erongo").use { b ->
+                    a.send(b, PeerMessage.MemberAck(1))
+                    if (both) b.send(a, PeerMessage.MemberAck(2))
+                    assertEquals(PeerMessage.MemberAck(1), b.receive(), case)
+                    b.send(a, PeerMessage.MemberAck(3))
+                    val expected = if (both) listOf(2L, 3L) else listOf(3L)
+                    assertEquals(expected.map { PeerMessage.MemberAck(it) }, expected.map { a.receive() }, case)
+                    assertEquals(1, a.transport.figures.openConnections, case)
+                    val bytes = a.transport.figures.bytes
+                    assertEquals(0L, bytes.inSameRegion + bytes.outSameRegion, case)
+                    assertEquals(true, bytes.inOtherRegion > 0 && bytes.outOtherRegion > 0, case)
+                }
+            }
+        }
+
+    @ParameterizedTest
+    @CsvSource(
+        "same key,       k, k, true",
+        "other key,      k, x, false",
+        "key is missing, k,  , false",
+    )
+    fun `only peers with the shared key are talked to`(case: String, own: String?, theirs: String?, accepted: Boolean) =
+        runBlocking {
+            Peer("a", "khomas", key = own).use { a ->
+                Peer("b", "khomas", key = theirs).use { b ->
+                    a.send(b, PeerMessage.MemberAck(1))
+                    if (accepted) assertEquals(PeerMessage.MemberAck(1), b.receive(), case)
+                    if (!accepted) assertEquals(NodeId("b"), a.awaitUnreachable(), case)
+                }
+            }
+        }
+
+    @Test
+    fun `a peer that takes messages and never answers is given up`() =
+        runBlocking {
+            var nowMillis = 0L
+            // The clock jumps past the bound for silence with each reading.
+            Peer("a", "khomas", clock = { nowMillis.also { nowMillis += 6_000 } }).use { a ->
+                Peer("b", "khomas").use { b ->
+                    a.send(b, PeerMessage.Heartbeat(1, null, 0))
+                    assertEquals(NodeId("b"), a.awaitUnreachable())
+                }
+            }
+        }
+
+    @Test
+    fun `a slow peer costs a bounded queue and is reported`() =
+        runBlocking {
+            ServerSocket(0).use { silent ->
+                Peer("a", "khomas").use { a ->
+                    val address = NetworkAddress("127.0.0.1:${silent.localPort}")
+                    repeat(257) { a.transport.send(NodeId("b"), address, PeerMessage.MemberAck(it.toLong())) }
+                    assertEquals(NodeId("b"), a.awaitUnreachable())
+                    assertEquals(1L, a.transport.figures.droppedMessages)
+                }
+            }
+        }
+}
+
+private const val WAIT_MILLIS = 10_000L
+
+private class Peer(
+    node: String,
+    private val region: String,
+    key: String? = null,
+    clock: Clock = Clock.SYSTEM,
+) : PeerListener,
+    AutoCloseable {
+    val id = NodeId(node)
+    private val received = Channel<PeerMessage>(Channel.UNLIMITED)
+    private val unreachable = Channel<NodeId>(Channel.UNLIMITED)
+    val transport =
+        PeerTransport(
+            TransportSettings(id, RegionName(region), "127.0.0.1", 0, key?.let { SharedKey(it.encodeToByteArray()) }),
+            this,
+            clock,
+            Random(1),
+            Dispatchers.Default,
+        )
+    private val address = NetworkAddress("127.0.0.1:${runBlocking { transport.bind() }}")
+
+    init {
+        transport.start()
+    }
+
+    fun send(peer: Peer, message: PeerMessage) = transport.send(peer.id, peer.address, message)
+
+    suspend fun receive(): PeerMessage = withTimeout(WAIT_MILLIS) { received.receive() }
+
+    suspend fun awaitUnreachable(): NodeId = withTimeout(WAIT_MILLIS) { unreachable.receive() }
+
+    override fun ownRecord() =
+        MemberRecord(id, Incarnation(1), 0, RegionName(region), ZoneName("z"), address, address)
+
+    override suspend fun connected(record: MemberRecord) = Unit
+
+    override suspend fun received(from: NodeId, message: PeerMessage) {
+        received.send(message)
+    }
+
+    override fun unreachable(peer: NodeId) {
+        unreachable.trySend(peer)
+    }
+
+    override fun close() = transport.close()
+}
