--- a/core/src/main/kotlin/boragelever/core/control/LeaseCandidates.kt
+++ b/core/src/main/kotlin/boragelever/core/control/LeaseCandidates.kt
@@ -28,7 +28,8 @@
 internal fun ControlState.leaseRank(): Int = leaseRank(identity.node, leaseMembers(), identity.storeRegion)
 
 /** Live members as known to this node; empty as long as it knows none. */
-private fun ControlState.leaseMembers(): List<MemberRecord> = emptyList()
+private fun ControlState.leaseMembers(): List<MemberRecord> =
+    members.table.members.values.filter { it.isLive }.map { it.record }
 
 private fun leaseWeight(node: NodeId): Long {
     val hash = node.value.fold(HASH_OFFSET) { hash, char -> (hash xor char.code.toLong()) * HASH_PRIME }
--- a/core/src/main/kotlin/boragelever/core/control/Reducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Reducer.kt
@@ -25,7 +25,7 @@
         .then(event, ::reduceConfig)
         .then(event, ::reduceDissemination)
         .then(event, ::reduceQuarantine)
-        .then(event, ::reduceSnapshot)
+        .andThen(::reduceSnapshot)
 
 private inline fun Transition.then(event: Event, concern: (ControlState, Event) -> Transition): Transition {
     val next = concern(state, event)
