Let only the nodes that should hold the lease read its row often

All nodes read the lease row once within the first second, and a node that was not among the first members waited up to 135 s even after those had died. The wait is now drawn again whenever a node becomes one of the first three live members or stops being one.

--- a/core/src/main/kotlin/boragelever/core/control/LeaseCandidates.kt
+++ b/core/src/main/kotlin/boragelever/core/control/LeaseCandidates.kt
@@ -5,31 +5,27 @@
 import boragelever.core.Stamp
 
 /**
- * Returns the position of [node] among the nodes that should hold the publisher lease, 0 first.
+ * Returns the position of [node] among [members] for the publisher lease, 0 first, or [LEASE_CANDIDATES] if it is
+ * that or greater.
  *
  * Members in the region of the store come first, each group in rendezvous order, so that nodes with the same view of
  * the members agree. A node that knows no other member takes itself for the first.
  */
-internal fun leaseRank(node: NodeId, members: List<MemberRecord>, storeRegion: RegionName?): Int {
-    val order =
-        members
-            .filterNot { it.leaving }
-            .sortedWith(compareBy({ storeRegion != null && it.region != storeRegion }, { leaseWeight(it.node) }))
-    return order.indexOfFirst { it.node == node }.coerceAtLeast(0)
+internal fun leaseRank(node: NodeId, members: Sequence<MemberRecord>, storeRegion: RegionName?): Int {
+    val own = members.firstOrNull { it.node == node } ?: return 0
+    val order = compareBy<MemberRecord>({ storeRegion != null && it.region != storeRegion }, { leaseWeight(it.node) })
+    return members.filter { !it.leaving && order.compare(it, own) < 0 }.take(LEASE_CANDIDATES).count()
 }
 
-/** Returns the wait until the next read of the lease row. */
-internal fun leaseReadMillis(stamp: Stamp, rank: Int): Long {
-    val meanMillis = if (rank < LEASE_CANDIDATES) CANDIDATE_READ_MILLIS else OTHER_READ_MILLIS
-    return stamp.spreadMillis("lease", meanMillis)
+/** True if this node is one of the few that should compete for the lease, as far as it knows the members. */
+internal fun ControlState.isLeaseCandidate(): Boolean {
+    val live = members.table.members.values.asSequence().filter { it.isLive }.map { it.record }
+    return leaseRank(identity.node, live, identity.storeRegion) < LEASE_CANDIDATES
 }
 
-/** Members that compete for the lease by [leaseRank]. */
-internal fun ControlState.leaseRank(): Int = leaseRank(identity.node, leaseMembers(), identity.storeRegion)
-
-/** Live members as known to this node; empty as long as it knows none. */
-private fun ControlState.leaseMembers(): List<MemberRecord> =
-    members.table.members.values.filter { it.isLive }.map { it.record }
+/** Returns the wait until the next read of the lease row. */
+internal fun leaseReadMillis(stamp: Stamp, isCandidate: Boolean): Long =
+    stamp.spreadMillis("lease", if (isCandidate) CANDIDATE_READ_MILLIS else OTHER_READ_MILLIS)
 
 private fun leaseWeight(node: NodeId): Long {
     val hash = node.value.fold(HASH_OFFSET) { hash, char -> (hash xor char.code.toLong()) * HASH_PRIME }
@@ -38,7 +34,7 @@
 }
 
 /** Nodes that read the lease row often; three survive the loss of two at the same time. */
-private const val LEASE_CANDIDATES = 3
+internal const val LEASE_CANDIDATES: Int = 3
 
 /** With three candidates this is 1.5 reads a second. */
 private const val CANDIDATE_READ_MILLIS = 2_000L
--- a/core/src/main/kotlin/boragelever/core/control/LeaseReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/LeaseReducer.kt
@@ -38,20 +38,25 @@
     if (event is Event.StoreAnswered && event.request == request) handle(event.answer) else unchanged()
 
 /** Waits for the next read of the lease row with what is known about it. */
-internal fun ControlState.observeLeaseAgain(seen: SeenLease?, stamp: Stamp): ControlState =
-    copy(lease = LeaseState.Observing(stamp.nowMillis + leaseReadMillis(stamp, leaseRank()), seen))
+internal fun ControlState.observeLeaseAgain(seen: SeenLease?, stamp: Stamp): ControlState {
+    val isCandidate = isLeaseCandidate()
+    return copy(lease = LeaseState.Observing(stamp.nowMillis + leaseReadMillis(stamp, isCandidate), seen, isCandidate))
+}
 
 /** The rows that every step of the lease looks at: the head's epoch guards against a lease row that was deleted. */
 internal val LEASE_ROWS: StoreCommand = StoreCommand.ReadRows(listOf(StoreKeys.LEASE, StoreKeys.HEAD))
 
 internal fun List<Row>.row(key: RowKey): Row? = firstOrNull { it.key == key }
 
+/** The time drawn for a candidate doesn't hold for other nodes, and the other way round, as members come and go. */
 private fun ControlState.observeLease(lease: LeaseState.Observing, stamp: Stamp): Transition {
     val due = lease.nextReadMillis
     return when {
         lifecycle is LifecycleState.Draining -> unchanged()
         due == null -> copy(lease = lease.copy(nextReadMillis = firstRead(stamp))).unchanged()
+        !lease.isCandidate && isLeaseCandidate() -> observeLeaseAgain(lease.seen, stamp).unchanged()
         stamp.nowMillis < due || !admitsStoreCalls() -> unchanged()
+        lease.isCandidate && !isLeaseCandidate() -> observeLeaseAgain(lease.seen, stamp).unchanged()
         else -> {
             val call = callStore(RequestOwner.LEASE, LEASE_ROWS)
             call.send { copy(lease = LeaseState.Reading(call.request, lease.seen)) }
--- a/core/src/main/kotlin/boragelever/core/control/LeaseState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/LeaseState.kt
@@ -12,6 +12,8 @@
     public data class Observing(
         public val nextReadMillis: Long? = null,
         public val seen: SeenLease? = null,
+        /** True if the time was drawn for one of the few nodes that read the row often. */
+        public val isCandidate: Boolean = true,
     ) : LeaseState
 
     /** The lease row is being read. */
