--- a/core/src/test/kotlin/boragelever/core/control/PublishScenarios.kt
+++ b/core/src/test/kotlin/boragelever/core/control/PublishScenarios.kt
@@ -174,6 +174,39 @@
     check(holder to Notice.PublishOverruled(Epoch(1)) in notices) { "the first holder was not overruled" }
 }
 
+private fun Session.manyVersions() {
+    publishFirst()
+    for (edit in 2..14) {
+        folder[A] = "a: $edit"
+        runUntil("version $edit") { head?.version?.value == edit.toLong() }
+    }
+    run(1_000)
+    val kept = store.documents.keys.mapNotNull { StoreKeys.documentVersion(it)?.value }
+    check(kept.sorted() == (5L..14L).toList()) { "kept documents: $kept" }
+}
+
+/** The holder stops; the other node publishes well before the lease would have expired. */
+private fun Session.orderlyStop() {
+    publishFirst()
+    val holder = checkNotNull(lease).holder
+    run(3_000)
+    send(holder, Event.StopRequested(stamp(holder)))
+    folder[A] = "a: 2"
+    runUntil("publish by the other node", limitMillis = 5_000) { published == mapOf("a" to "2") }
+    check(lease?.holder != holder)
+}
+
+/** A program of a newer version left a configuration that this one cannot apply. */
+private fun Session.refusedVersion() {
+    publishFirst()
+    folder[B] = "future: 1"
+    run(2_000)
+    check(notices.count { it.second is Notice.ConfigRefused } == 1) { "the refusal was not reported once" }
+    check(state(nodes.first()).applied?.id?.version?.value == 1L) { "a refused configuration was applied" }
+    folder.remove(B)
+    run(2_000)
+}
+
 internal val PUBLISH_SCENARIOS: List<Scenario> =
     listOf(
         Scenario("normal-change", "a lost edit", 2, mapOf("a" to "1", "b" to "1"), golden = true) {
@@ -257,6 +290,22 @@
         ) {
             batchedEdits()
         },
+        Scenario("many-versions", "documents that pile up", 14, mapOf("a" to "14"), script = Session::manyVersions),
+        Scenario(
+            "orderly-stop",
+            "a lease that stays with a node that is gone",
+            2,
+            mapOf("a" to "2"),
+            nodes = listOf("n1", "n2"),
+            script = Session::orderlyStop,
+        ),
+        Scenario(
+            "refused-version",
+            "a version that is applied in part",
+            3,
+            mapOf("a" to "1"),
+            script = Session::refusedVersion,
+        ),
         Scenario("store-forgets-head", "a version number that is given out twice", 2, mapOf("a" to "1")) {
             publishFirst()
             store = store.copy(rows = emptyMap())
--- a/standin/src/test/kotlin/boragelever/standin/HttpPlatformTest.kt
+++ b/standin/src/test/kotlin/boragelever/standin/HttpPlatformTest.kt
@@ -34,6 +34,7 @@
 import org.junit.jupiter.params.provider.MethodSource
 import java.nio.file.Path
 import kotlin.io.path.createDirectory
+import kotlin.io.path.writeBytes
 import kotlin.io.path.writeText
 
 /** Guards against commands that change in transit and against failures that are reported as the wrong kind. */
@@ -110,6 +111,33 @@
             Unit
         }
 
+    @Test
+    fun `a file that is not text is refused in place of being changed`(
+        @TempDir directory: Path,
+    ) =
+        runBlocking {
+            val latin1 = byteArrayOf('a'.code.toByte(), 0xE9.toByte())
+            directory.resolve("a.yaml").writeBytes(latin1)
+            platform.execute(StoreCommand.PutObject(ObjectKey("folder/a.yaml"), ByteBlock(latin1)))
+            for (folder in listOf(ConfigFolder.LocalDirectory(directory), ConfigFolder.ObjectStorePrefix(platform))) {
+                val answer = folder.read(listOf(FileName("a.yaml")))
+                assertTrue("'a.yaml' is not UTF-8" in assertInstanceOf(FolderAnswer.Failed::class.java, answer).message)
+            }
+        }
+
+    @Test
+    fun `a folder with more files than may be read in a second is read in steps`() =
+        runBlocking {
+            val names = List(30) { FileName("${it + 10}.yaml") }
+            names.forEach { platform.execute(StoreCommand.PutObject(ObjectKey("folder/$it"), bytes("a: $it"))) }
+            HttpPlatform(standIn.address) { maxReadsPerSecond = 3.0 }.use { limited ->
+                val read = ConfigFolder.ObjectStorePrefix(limited).read(names)
+                val files = assertInstanceOf(FolderAnswer.Read::class.java, read).files
+                assertEquals(names.take(files.size), files.map { it.name })
+                assertTrue(files.size < names.size)
+            }
+        }
+
     data class FaultCase(
         val name: String,
         val faults: PlatformFaults,
