Wire a node from control loop, transport, proxy and admin port

A replaced connection between two nodes is drained: with both ends dialling at once, a message written to the connection that lost was dropped (seen as a time-out in the transport test).

--- /dev/null
+++ b/app/src/main/kotlin/boragelever/app/Flags.kt
@@ -0,0 +1,135 @@
+package boragelever.app
+
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.Option
+
+/** Flags of every command. Each flag is described here and nowhere else; help and documentation are made from it. */
+internal open class Flags {
+    @Option(name = "--help", usage = "Shows this help.", help = true)
+    var help: Boolean = false
+}
+
+/** Flags of the commands that run until they are stopped. */
+internal open class ServiceFlags : Flags() {
+    @Option(name = "--log-format", metaVar = "text|json", usage = "Form of log lines, which go to standard error.")
+    var logFormat: String = "text"
+
+    @Option(name = "--log-level", metaVar = "LEVEL", usage = "Least severe level logged: debug, info, warn or error.")
+    var logLevel: String = "info"
+}
+
+/** Flags of the commands that print a result. */
+internal open class ResultFlags : Flags() {
+    @Option(name = "--output", metaVar = "text|json", usage = "Form of the result.")
+    var output: String = "text"
+}
+
+internal class NodeFlags : ServiceFlags() {
+    @Option(name = "--node", metaVar = "ID", usage = "Name of the node, stable over restarts. Required.")
+    var node: String? = null
+
+    @Option(name = "--region", metaVar = "NAME", usage = "Region of the host. Required.")
+    var region: String? = null
+
+    @Option(name = "--zone", metaVar = "NAME", usage = "Availability zone of the host. Required.")
+    var zone: String? = null
+
+    @Option(name = "--platform", metaVar = "HOST:PORT", usage = "Address of the platform. Required.")
+    var platform: String? = null
+
+    @Option(name = "--host", metaVar = "IP", usage = "IP number at which callers and other nodes reach the node.")
+    var host: String = "127.0.0.1"
+
+    @Option(name = "--bind-host", metaVar = "IP", usage = "IP number to listen on; by default that of --host.")
+    var bindHost: String? = null
+
+    @Option(name = "--proxy-port", metaVar = "PORT", usage = "Port for callers; 0 takes a free one.")
+    var proxyPort: String = "7000"
+
+    @Option(name = "--hop-port", metaVar = "PORT", usage = "Port for calls from other nodes; 0 takes a free one.")
+    var hopPort: String = "7001"
+
+    @Option(name = "--peer-port", metaVar = "PORT", usage = "Port for control messages of nodes; 0 takes a free one.")
+    var peerPort: String = "7002"
+
+    @Option(name = "--admin-host", metaVar = "IP", usage = "IP number of the admin port; keep it on loopback.")
+    var adminHost: String = "127.0.0.1"
+
+    @Option(name = "--admin-port", metaVar = "PORT", usage = "Port for upstreams and operators; 0 takes a free one.")
+    var adminPort: String = "7003"
+
+    @Option(name = "--seeds", metaVar = "HOST:PORT,...", usage = "Peer ports to contact when the store names no peer.")
+    var seeds: String = ""
+
+    @Option(name = "--store-region", metaVar = "NAME", usage = "Region of the platform's store; its nodes publish first.")
+    var storeRegion: String? = null
+
+    @Option(name = "--shared-key-file", metaVar = "FILE", usage = "File with the key that all nodes prove to each other.")
+    var sharedKeyFile: String? = null
+
+    @Option(name = "--folder-prefix", metaVar = "PREFIX", usage = "Prefix of the folder's objects in the object store.")
+    var folderPrefix: String = "folder/"
+
+    @Option(name = "--folder", metaVar = "DIR", usage = "Directory in place of the object store, for development.")
+    var folder: String? = null
+
+    @Option(name = "--traffic-threads", metaVar = "N", usage = "Threads that carry calls, from 1 to 64.")
+    var trafficThreads: String = "2"
+
+    @Option(name = "--otlp-endpoint", metaVar = "URL", usage = "Endpoint for traces over OTLP; by default none are sent.")
+    var otlpEndpoint: String? = null
+}
+
+internal class CheckFlags : ResultFlags() {
+    @Option(name = "--print-merged", usage = "Prints the merged configuration as YAML.")
+    var printMerged: Boolean = false
+
+    @Argument(metaVar = "FOLDER", usage = "Folder of configuration files.")
+    var arguments: MutableList<String> = mutableListOf()
+}
+
+internal class DiffFlags : ResultFlags() {
+    @Argument(metaVar = "FOLDER FOLDER", usage = "Folder before and folder after the change.")
+    var arguments: MutableList<String> = mutableListOf()
+}
+
+internal class StatusFlags : ResultFlags() {
+    @Option(name = "--admin", metaVar = "HOST:PORT", usage = "Admin port of the node.")
+    var admin: String = "127.0.0.1:7003"
+}
+
+/** Flags of the commands that can be bounded in time. */
+internal open class BoundedFlags : ServiceFlags() {
+    @Option(name = "--for-seconds", metaVar = "N", usage = "Ends the run after this time; by default it goes on.")
+    var forSeconds: String? = null
+}
+
+internal class DevFlags : BoundedFlags() {
+    @Option(name = "--folder", metaVar = "DIR", usage = "Folder of configuration files to try. Required.")
+    var folder: String? = null
+}
+
+internal class PlatformFlags : BoundedFlags() {
+    @Option(name = "--listen", metaVar = "HOST:PORT", usage = "Address to listen on; port 0 takes a free one.")
+    var listen: String = "127.0.0.1:7100"
+}
+
+internal class UpstreamFlags : BoundedFlags() {
+    @Option(name = "--service", metaVar = "NAME", usage = "Service of the upstream. Required.")
+    var service: String? = null
+
+    @Option(name = "--instance", metaVar = "ID", usage = "Name of the upstream. Required.")
+    var instance: String? = null
+
+    @Option(name = "--listen", metaVar = "HOST:PORT", usage = "Address to listen on; port 0 takes a free one.")
+    var listen: String = "127.0.0.1:0"
+
+    @Option(name = "--admin", metaVar = "HOST:PORT", usage = "Admin port of the node to register with.")
+    var admin: String = "127.0.0.1:7003"
+
+    @Option(name = "--slots", metaVar = "N", usage = "Requests that the upstream runs at a time.")
+    var slots: String = "9"
+
+    @Option(name = "--connections", metaVar = "N", usage = "Connections that the upstream accepts.")
+    var connections: String = "130"
+}
--- /dev/null
+++ b/app/src/main/kotlin/boragelever/app/FolderCommands.kt
@@ -0,0 +1,170 @@
+package boragelever.app
+
+import boragelever.core.config.ConfigError
+import boragelever.core.config.render
+import boragelever.core.control.FolderAnswer
+import boragelever.core.control.FolderFile
+import boragelever.platform.ConfigFolder
+import boragelever.yaml.EntryChange
+import boragelever.yaml.MergedFolder
+import boragelever.yaml.diffDocuments
+import boragelever.yaml.loadFolder
+import boragelever.yaml.renderYaml
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import java.nio.file.Path
+
+/** Form of JSON results. */
+internal val resultJson: Json =
+    Json {
+        prettyPrint = true
+        prettyPrintIndent = "  "
+        encodeDefaults = true
+    }
+
+@Serializable
+private class ErrorLine(
+    val file: String,
+    val line: Int,
+    val key: String,
+    val problem: String,
+    val remedy: String,
+)
+
+@Serializable
+private class CheckResult(
+    val valid: Boolean,
+    val digest: String?,
+    val services: Int,
+    val routes: Int,
+    val errors: List<ErrorLine>,
+)
+
+@Serializable
+private class ChangeLine(
+    val change: String,
+    val entry: String,
+    val from: String?,
+    val to: String?,
+)
+
+@Serializable
+private class DiffResult(
+    @SerialName("from_digest") val fromDigest: String,
+    @SerialName("to_digest") val toDigest: String,
+    val changes: List<ChangeLine>,
+)
+
+/** Why a folder cannot be used. */
+private sealed interface FolderProblem {
+    data class Unreadable(val message: String) : FolderProblem
+
+    data class Invalid(val errors: List<ConfigError>) : FolderProblem
+}
+
+internal fun checkFolder(command: Command.CheckFolder): CommandOutcome =
+    load(command.folder).fold(
+        success = { done(describeValid(it, command)) },
+        failure = { CommandOutcome(ExitCode.INPUT_WRONG, describe(it, command.output)) },
+    )
+
+internal fun diffFolders(command: Command.DiffFolders): CommandOutcome =
+    load(command.from)
+        .flatMap { from -> load(command.to).map { to -> describeChanges(from, to, command.output) } }
+        .fold(
+            success = ::done,
+            failure = { CommandOutcome(ExitCode.INPUT_WRONG, describe(it, command.output)) },
+        )
+
+private fun load(path: Path): Result<MergedFolder, FolderProblem> =
+    read(path).flatMap { files -> loadFolder(files).mapError { FolderProblem.Invalid(it) } }
+
+private fun read(path: Path): Result<List<FolderFile>, FolderProblem> =
+    runBlocking {
+        val folder = ConfigFolder.LocalDirectory(path)
+        when (val listed = folder.list()) {
+            is FolderAnswer.Listed ->
+                when (val answer = folder.read(listed.entries.map { it.name })) {
+                    is FolderAnswer.Read -> Ok(answer.files)
+                    else -> unreadable(answer)
+                }
+            else -> unreadable(listed)
+        }
+    }
+
+private fun unreadable(answer: FolderAnswer): Result<List<FolderFile>, FolderProblem> =
+    Err(FolderProblem.Unreadable((answer as? FolderAnswer.Failed)?.message ?: "the folder gave an unexpected answer"))
+
+private fun describeValid(folder: MergedFolder, command: Command.CheckFolder): String {
+    val services = folder.configuration.services.size
+    val routes = folder.configuration.routes.size
+    val digest = folder.document.digest().value
+    return when {
+        command.printMerged -> renderYaml(folder.tree).trimEnd()
+        command.output == OutputFormat.JSON ->
+            resultJson.encodeToString(
+                CheckResult.serializer(),
+                CheckResult(valid = true, digest, services, routes, emptyList()),
+            )
+        else -> "${command.folder} is valid: services $services, routes $routes, digest $digest"
+    }
+}
+
+private fun describe(problem: FolderProblem, output: OutputFormat): String =
+    when (output) {
+        OutputFormat.TEXT ->
+            when (problem) {
+                is FolderProblem.Unreadable -> problem.message
+                is FolderProblem.Invalid -> problem.errors.joinToString("\n", transform = ConfigError::render)
+            }
+        OutputFormat.JSON ->
+            resultJson.encodeToString(
+                CheckResult.serializer(),
+                CheckResult(valid = false, digest = null, services = 0, routes = 0, errorLines(problem)),
+            )
+    }
+
+private fun errorLines(problem: FolderProblem): List<ErrorLine> =
+    when (problem) {
+        is FolderProblem.Unreadable ->
+            listOf(ErrorLine("", 0, "", problem.message, "make the folder readable"))
+        is FolderProblem.Invalid ->
+            problem.errors.map {
+                ErrorLine(it.location.file.value, it.location.line, it.location.key, it.problem, it.remedy)
+            }
+    }
+
+private fun describeChanges(from: MergedFolder, to: MergedFolder, output: OutputFormat): String {
+    val changes = diffDocuments(from.document, to.document)
+    return when (output) {
+        OutputFormat.TEXT -> if (changes.isEmpty()) "no change" else changes.joinToString("\n", transform = ::line)
+        OutputFormat.JSON -> {
+            val lines = changes.map(::changeLine)
+            val result = DiffResult(from.document.digest().value, to.document.digest().value, lines)
+            resultJson.encodeToString(DiffResult.serializer(), result)
+        }
+    }
+}
+
+private fun line(change: EntryChange): String =
+    when (change) {
+        is EntryChange.Added -> "+ ${change.key}: ${change.text}"
+        is EntryChange.Removed -> "- ${change.key}: ${change.text}"
+        is EntryChange.Changed -> "~ ${change.key}: ${change.from} -> ${change.to}"
+    }
+
+private fun changeLine(change: EntryChange): ChangeLine =
+    when (change) {
+        is EntryChange.Added -> ChangeLine("added", change.key.value, null, change.text)
+        is EntryChange.Removed -> ChangeLine("removed", change.key.value, change.text, null)
+        is EntryChange.Changed -> ChangeLine("changed", change.key.value, change.from, change.to)
+    }
--- /dev/null
+++ b/app/src/main/kotlin/boragelever/app/Values.kt
@@ -0,0 +1,69 @@
+package boragelever.app
+
+import boragelever.core.NetworkAddress
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+
+private const val MAX_PORT = 65_535
+private val name = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+private val ipNumber = Regex("[0-9]{1,3}(\\.[0-9]{1,3}){3}|[0-9a-fA-F:]*:[0-9a-fA-F:]*")
+
+/** Checks values of flags. Each refusal names the flag and the remedy. */
+internal object Values {
+    fun name(flag: String, value: String?): Result<String, UsageError> =
+        checked(flag, value, "a name of letters, digits, dots, dashes or underscores") { it.takeIf(name::matches) }
+
+    fun optionalName(flag: String, value: String?): Result<String?, UsageError> =
+        if (value == null) Ok(null) else name(flag, value)
+
+    fun host(flag: String, value: String?): Result<String, UsageError> =
+        checked(flag, value, "an IP number, for example 10.1.2.3") { it.takeIf(ipNumber::matches) }
+
+    fun port(flag: String, value: String?): Result<Int, UsageError> =
+        checked(flag, value, "a port from 0 to $MAX_PORT") { it.toIntOrNull()?.takeIf { port -> port in 0..MAX_PORT } }
+
+    fun number(flag: String, value: String?, range: LongRange): Result<Long, UsageError> =
+        checked(flag, value, "a whole number from ${range.first} to ${range.last}") {
+            it.toLongOrNull()?.takeIf { number -> number in range }
+        }
+
+    fun optionalNumber(flag: String, value: String?, range: LongRange): Result<Long?, UsageError> =
+        if (value == null) Ok(null) else number(flag, value, range)
+
+    fun address(flag: String, value: String?): Result<NetworkAddress, UsageError> =
+        checked(flag, value, "an IP number and a port, for example 10.1.2.3:7002", ::addressOrNull)
+
+    fun addresses(flag: String, value: String): Result<List<NetworkAddress>, UsageError> =
+        checked(flag, value, "addresses separated by commas, for example 10.1.2.3:7002,10.1.2.4:7002") { list ->
+            val parts = list.split(',').map { it.trim() }.filter { it.isNotEmpty() }
+            parts.mapNotNull(::addressOrNull).takeIf { it.size == parts.size }
+        }
+
+    fun text(flag: String, value: String?): Result<String, UsageError> =
+        checked(flag, value, "a value") { it.ifEmpty { null } }
+
+    inline fun <reified T : Enum<T>> choice(flag: String, value: String): Result<T, UsageError> {
+        val choices = enumValues<T>()
+        return checked(flag, value, "one of " + choices.joinToString { it.name.lowercase() }) { word ->
+            choices.firstOrNull { it.name.lowercase() == word }
+        }
+    }
+
+    fun <T : Any> checked(
+        flag: String,
+        value: String?,
+        wanted: String,
+        parse: (String) -> T?,
+    ): Result<T, UsageError> {
+        if (value == null) return Err(UsageError("$flag is missing; give $wanted"))
+        val parsed = parse(value) ?: return Err(UsageError("$flag: '$value' is not allowed; give $wanted"))
+        return Ok(parsed)
+    }
+
+    private fun addressOrNull(value: String): NetworkAddress? {
+        val host = value.substringBeforeLast(':', "").removeSurrounding("[", "]")
+        val port = value.substringAfterLast(':', "").toIntOrNull()
+        return NetworkAddress(value).takeIf { ipNumber.matches(host) && port != null && port in 0..MAX_PORT }
+    }
+}
--- a/node/src/main/kotlin/boragelever/node/NodeSettings.kt
+++ b/node/src/main/kotlin/boragelever/node/NodeSettings.kt
@@ -26,6 +26,8 @@
     public val adminPort: Int = 0,
     /** Peers to contact when the store names none. */
     public val seeds: List<NetworkAddress> = emptyList(),
+    /** Region of the platform's store, whose nodes publish first, or `null` if all regions are alike. */
+    public val storeRegion: RegionName? = null,
     /** Key that peers have to prove, or `null` to accept every peer. */
     public val sharedKey: SharedKey? = null,
     /** Threads that carry calls. */
--- a/node/src/main/kotlin/boragelever/node/NoticeCounts.kt
+++ b/node/src/main/kotlin/boragelever/node/NoticeCounts.kt
@@ -15,6 +15,9 @@
     val rejectedFolders = LongAdder()
     val published = LongAdder()
 
+    /** Monotonic time in milliseconds of the last publish by this node, or `null`. */
+    val lastPublishedMillis = AtomicReference<Long?>(null)
+
     /** The last applied configuration, or `null` before the first. */
     val lastApplied = AtomicReference<AppliedAt?>(null)
 
@@ -30,6 +33,7 @@
             is Notice.ConfigRefused -> refused.increment()
             is Notice.ConfigPublished -> {
                 published.increment()
+                lastPublishedMillis.set(clock.nowMillis())
                 folderErrors.set(emptyList())
             }
             is Notice.FolderRejected -> {
@@ -38,8 +42,8 @@
             }
             is Notice.FolderUnreadable -> folderErrors.set(listOf(notice.message))
             is Notice.PublishOverruled, is Notice.LeaseAcquired, is Notice.LeaseLost, is Notice.StoreUnreachable,
-            is Notice.StoreReachable, is Notice.MemberChanged, is Notice.Quarantined, is Notice.Resumed,
-            is Notice.Draining,
+            is Notice.StoreReachable, is Notice.StoreRefused, is Notice.MemberChanged, is Notice.Quarantined,
+            is Notice.Resumed, is Notice.Draining,
             -> Unit
         }
     }
--- a/node/src/main/kotlin/boragelever/node/NoticeLog.kt
+++ b/node/src/main/kotlin/boragelever/node/NoticeLog.kt
@@ -37,6 +37,7 @@
         is Notice.LeaseLost -> LogLine.Warning("[lease] ${notice.epoch} is lost")
         is Notice.StoreUnreachable -> LogLine.Warning("[store] the store cannot be reached: ${notice.failure.message}")
         is Notice.StoreReachable -> LogLine.Info("[store] the store answers")
+        is Notice.StoreRefused -> LogLine.Warning("[store] the store refuses a command: ${notice.failure.message}")
         is Notice.MemberChanged -> LogLine.Info("[peer] ${notice.node} is ${notice.status.word()}")
         is Notice.Quarantined ->
             LogLine.Warning("[proxy] ${notice.fingerprint} is refused after ${notice.deaths} deaths of upstreams")
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/StatusView.kt
@@ -0,0 +1,148 @@
+package boragelever.node
+
+import boragelever.core.control.ControlState
+import boragelever.core.control.LeaseState
+import boragelever.core.control.LifecycleState
+import boragelever.core.control.Member
+import boragelever.core.control.MemberStatus
+import boragelever.core.control.StoreView
+import boragelever.core.control.ageMillis
+import boragelever.node.admin.AddressStatus
+import boragelever.node.admin.ConfigStatus
+import boragelever.node.admin.MemberStatusLine
+import boragelever.node.admin.MembersStatus
+import boragelever.node.admin.NodeStatus
+import boragelever.node.admin.PublisherStatus
+import boragelever.node.admin.QuarantineStatus
+import boragelever.node.admin.StoreStatus
+import boragelever.node.admin.UpstreamStatus
+
+/** Version of the program. */
+public const val PROGRAM_VERSION: String = "0.1.0"
+
+/** Why the node that this state belongs to must get no calls, or `null` if it may. */
+internal fun ControlState.notReadyReason(): String? =
+    when {
+        lifecycle is LifecycleState.Draining -> "the node is stopping"
+        applied == null -> "no configuration is in force yet; check the store, the folder and the seeds"
+        snapshot == null -> "the configuration is not compiled yet"
+        else -> null
+    }
+
+/** Builds the status from the control state and the figures of the node. */
+internal class StatusView(
+    private val clock: Clock,
+    private val notices: NoticeCounts,
+    private val store: MeteredPlatform,
+    private val addresses: NodeAddresses,
+) {
+    fun of(state: ControlState): NodeStatus {
+        val nowMillis = clock.nowMillis()
+        val missing = state.notReadyReason()
+        return NodeStatus(
+            node = state.identity.node.value,
+            region = state.identity.region.value,
+            zone = state.identity.zone.value,
+            program = PROGRAM_VERSION,
+            lifecycle = state.lifecycle.word(),
+            ready = missing == null,
+            notReady = missing,
+            config = state.configStatus(nowMillis),
+            publisher = state.publisherStatus(),
+            store = state.storeStatus(nowMillis),
+            members = state.membersStatus(),
+            upstreams = state.upstreamStatus(),
+            quarantine =
+                state.quarantine.refused.map { (fingerprint, endMillis) ->
+                    QuarantineStatus(fingerprint.value, maxOf(0, endMillis - nowMillis))
+                },
+            addresses = addresses.status(),
+        )
+    }
+
+    private fun ControlState.configStatus(nowMillis: Long): ConfigStatus? {
+        val applied = applied ?: return null
+        val ageMillis = notices.lastApplied.get()?.takeIf { it.id == applied.id }?.let { nowMillis - it.atMillis }
+        return ConfigStatus(
+            applied.id.version.value,
+            applied.id.digest.value,
+            applied.document.entries.size,
+            ageMillis,
+        )
+    }
+
+    private fun ControlState.publisherStatus(): PublisherStatus {
+        val view = lease
+        return PublisherStatus(
+            holdsLease = view is LeaseState.Held,
+            epoch =
+                when (view) {
+                    is LeaseState.Held -> view.epoch
+                    is LeaseState.Observing -> view.seen?.epoch
+                    is LeaseState.Reading -> view.seen?.epoch
+                    is LeaseState.Acquiring -> view.attempt.seen?.epoch
+                    is LeaseState.ConfirmingAcquisition -> view.attempt.seen?.epoch
+                }?.value,
+            folderErrors = notices.folderErrors.get(),
+        )
+    }
+
+    private fun ControlState.storeStatus(nowMillis: Long): StoreStatus {
+        val figures = this@StatusView.store.figures
+        val view = store.view
+        return StoreStatus(
+            reachable = view is StoreView.Reachable,
+            answerAgeMs = store.ageMillis(nowMillis),
+            failure = (view as? StoreView.Unreachable)?.failure?.message,
+            reads = figures.reads,
+            writes = figures.writes,
+            failures = figures.failures,
+        )
+    }
+}
+
+/** Number of members with each status. */
+internal fun ControlState.membersByStatus(): Map<String, Int> {
+    val counts = members.table.members.values.groupingBy { it.status }.eachCount()
+    return MemberStatus.entries.associate { it.word() to (counts[it] ?: 0) }
+}
+
+private fun ControlState.membersStatus(): MembersStatus {
+    val counts = membersByStatus()
+    return MembersStatus(
+        alive = counts.getValue(MemberStatus.ALIVE.word()),
+        suspect = counts.getValue(MemberStatus.SUSPECT.word()),
+        dead = counts.getValue(MemberStatus.DEAD.word()),
+        list = members.table.members.values.sortedBy { it.record.node }.map { it.line() },
+    )
+}
+
+private fun Member.line(): MemberStatusLine =
+    MemberStatusLine(
+        record.node.value,
+        record.region.value,
+        record.zone.value,
+        if (record.leaving) "leaving" else status.word(),
+        record.upstreams.size,
+    )
+
+private fun ControlState.upstreamStatus(): List<UpstreamStatus> =
+    discovery.upstreams.values.map { it.record }.sortedBy { it.instance.value }.map {
+        UpstreamStatus(
+            it.service.value,
+            it.instance.value,
+            it.address.value,
+            it.slots,
+            it.connections,
+            it.state.name.lowercase(),
+        )
+    }
+
+private fun LifecycleState.word(): String =
+    when (this) {
+        is LifecycleState.Starting -> "starting"
+        is LifecycleState.Running -> "running"
+        is LifecycleState.Draining -> "draining"
+    }
+
+private fun NodeAddresses.status(): AddressStatus = AddressStatus(proxy.value, hop.value, peer.value, admin.value)
--- a/node/src/main/kotlin/boragelever/node/admin/NodeStatus.kt
+++ b/node/src/main/kotlin/boragelever/node/admin/NodeStatus.kt
@@ -37,7 +37,7 @@
 @Serializable
 public data class PublisherStatus(
     public val holdsLease: Boolean,
-    public val holder: String?,
+    /** Highest epoch of the lease that this node has seen, or `null` if it has not read the lease yet. */
     public val epoch: Long?,
     /** Errors of the last rejected folder; empty if the last folder was accepted. */
     public val folderErrors: List<String>,
@@ -46,8 +46,11 @@
 /** View of the store. */
 @Serializable
 public data class StoreStatus(
+    public val reachable: Boolean,
     /** Time since the store last answered this node, or `null` if it never did. */
     public val answerAgeMs: Long?,
+    /** Last failure while the store is unreachable, with the remedy, or `null`. */
+    public val failure: String?,
     public val reads: Long,
     public val writes: Long,
     public val failures: Long,
--- a/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
@@ -14,6 +14,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.cancel
+import io.ktor.utils.io.flushAndClose
 import io.ktor.utils.io.readFully
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeFully
@@ -30,7 +31,7 @@
     /** An answer was due and nothing arrived. */
     data object Silent : CloseReason
 
-    /** Another connection to the same peer took its place. */
+    /** Another connection to the same peer took its place, and the peer did not end this one in time. */
     data object Replaced : CloseReason
 
     /** The control state asked for it, or the node stops. */
@@ -60,6 +61,11 @@
         output.flush()
     }
 
+    /** Ends the connection in the direction to the peer; the peer reads what was written before. */
+    suspend fun endOutput() {
+        output.flushAndClose()
+    }
+
     /** Ends the connection in both directions. */
     fun close() {
         input.cancel()
@@ -88,6 +94,9 @@
     var awaitingSinceMillis: Long? = null
         private set
 
+    /** Completed once another connection has taken the place of this one. */
+    val retired = Job()
+
     @Volatile
     private var job: Job? = null
 
@@ -102,6 +111,11 @@
         if (closeReason != null) reader.cancel()
     }
 
+    /** Stops sending messages; those that are on their way in both directions still arrive. */
+    fun retire() {
+        retired.complete()
+    }
+
     /** Ends the connection. Any thread may call it; the first reason counts. */
     fun close(reason: CloseReason) {
         if (closeReason == null) closeReason = reason
@@ -128,8 +142,11 @@
 /** Tells whether a live receiver always answers the message. */
 private fun PeerMessage.expectsAnswer(): Boolean =
     when (this) {
-        is PeerMessage.Heartbeat, is PeerMessage.ConfigPush, is PeerMessage.MemberUpdate -> true
+        is PeerMessage.Heartbeat, is PeerMessage.ConfigPush, is PeerMessage.QuarantineUpdate -> true
+
+        is PeerMessage.MemberUpdate -> !isAnswer
+
         is PeerMessage.HeartbeatAck, is PeerMessage.ConfigAck, is PeerMessage.ConfigPull, is PeerMessage.MemberAck,
-        is PeerMessage.MemberSummary, is PeerMessage.MemberPull, is PeerMessage.QuarantineUpdate,
+        is PeerMessage.MemberSummary, is PeerMessage.MemberPull,
         -> false
     }
--- a/node/src/main/kotlin/boragelever/node/peer/PeerLink.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerLink.kt
@@ -74,7 +74,7 @@
                 notBeforeMillis = Long.MIN_VALUE
                 present
             }
-        replaced?.close(CloseReason.Replaced)
+        replaced?.retire()
         return true
     }
 
--- a/node/src/main/kotlin/boragelever/node/peer/PeerSessions.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerSessions.kt
@@ -16,12 +16,17 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import java.util.concurrent.ConcurrentHashMap
 
 private val log = KotlinLogging.logger {}
 
+/** Time for messages on their way over a connection that another one has replaced. */
+private const val RETIRE_MILLIS = 2_000L
+
 /** Moves messages between open connections, their links and the listener. */
 internal class PeerSessions(private val listener: PeerListener, private val clock: Clock) {
     private val skippedKinds: MutableSet<String> = ConcurrentHashMap.newKeySet()
@@ -32,7 +37,7 @@
             coroutineScope {
                 connection.servedBy(currentCoroutineContext().job)
                 launch { writeAll(connection, link) }
-                listener.connected(connection.record)
+                if (connection.retired.isActive) listener.connected(connection.record)
                 connection.close(readAll(connection))
             }
             CloseReason.Lost
@@ -78,12 +83,28 @@
         return CloseReason.Refused(error)
     }
 
+    /** Sends what the link holds until the connection is retired. */
     private suspend fun writeAll(connection: PeerConnection, link: PeerLink) {
         val own = listener.ownRecord().node
-        for (message in link.queue) {
-            encodeFrame(PeerFrame(PROTOCOL_VERSION, own, message))
-                .onOk { connection.write(message, it, clock.nowMillis()) }
-                .onErr { log.error { "[peer] a message to ${connection.peer} is dropped: ${it.message}" } }
+        var inUse = true
+        while (inUse) {
+            inUse =
+                select {
+                    connection.retired.onJoin { false }
+                    link.queue.onReceive { message ->
+                        write(connection, PeerFrame(PROTOCOL_VERSION, own, message))
+                        true
+                    }
+                }
         }
+        connection.socket.endOutput()
+        delay(RETIRE_MILLIS)
+        connection.close(CloseReason.Replaced)
+    }
+
+    private suspend fun write(connection: PeerConnection, frame: PeerFrame) {
+        encodeFrame(frame)
+            .onOk { connection.write(frame.message, it, clock.nowMillis()) }
+            .onErr { log.error { "[peer] a message to ${connection.peer} is dropped: ${it.message}" } }
     }
 }
--- a/node/src/main/kotlin/boragelever/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerTransport.kt
@@ -248,10 +248,7 @@
     /** Carries messages over [connection] until it ends. */
     private suspend fun use(connection: PeerConnection) {
         val link = links.computeIfAbsent(connection.peer, ::PeerLink)
-        if (!link.adopt(connection, settings.node)) {
-            connection.close(CloseReason.Replaced)
-            return
-        }
+        if (!link.adopt(connection, settings.node)) connection.retire()
         val reason = sessions.run(connection, link)
         if (link.release(connection) && reason.meansUnreachable()) {
             log.debug { "[peer] the connection to ${connection.peer} ended: $reason" }
