--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/call/Attempts.kt
@@ -0,0 +1,138 @@
+package boragelever.core.call
+
+import kotlin.math.min
+
+private const val OK = 200
+private const val PARTIAL_CONTENT = 206
+
+/** Methods that may be sent twice at the same time, since they only read. */
+private val READS = setOf("GET", "HEAD")
+
+internal fun endpointSelected(state: CallState.Calling, event: CallEvent.EndpointSelected): CallTransition {
+    val plan = state.plan ?: return state.unchanged()
+    val phase = state.phase
+    val hedge = phase == CallPhase.Awaiting
+    val wanted = phase == CallPhase.Selecting || phase is CallPhase.Resuming || hedge
+    if (!wanted || state.started >= plan.maxAttempts) return state.unchanged()
+    val attempt = state.started + 1
+    val remaining = plan.deadlineMillis - event.stamp.nowMillis
+    val resume = (phase as? CallPhase.Resuming)?.let { ResumePoint(it.sentBytes, it.answer.strongTag.orEmpty()) }
+    val retry = plan.route.config.retry
+    val start = CallEffect.StartAttempt(
+        attempt = attempt,
+        target = AttemptTarget.NextNode(event.endpoint, plan.fingerprint),
+        // A retry leaves no attempts to the services behind it: a chain of depth d makes at most 2d + 1 attempts at
+        // its end with three attempts each, where handing all of them on would make 3 to the power of d.
+        attemptsLeft = if (attempt == 1) plan.maxAttempts else 1,
+        headTimeoutMillis = headTimeout(plan, remaining, resume != null),
+        remainingMillis = if (resume == null) remaining else null,
+        idleTimeoutMillis = plan.route.config.idleTimeoutMillis,
+        resume = resume,
+        repeatable = plan.idempotent,
+    )
+    val next = state.copy(
+        phase = if (phase is CallPhase.Resuming) phase else CallPhase.Awaiting,
+        started = attempt,
+        running = state.running + (attempt to event.endpoint),
+    )
+    val hedgeable = attempt == 1 && retry.hedgeAfterMillis > 0 && state.request.method in READS
+    val timer = if (hedgeable) listOf(CallEffect.SetHedgeTimer(retry.hedgeAfterMillis)) else emptyList()
+    return CallTransition(next, listOf(start) + timer)
+}
+
+/** A call that must not be repeated gains nothing from giving up on its only attempt before the deadline. */
+private fun headTimeout(plan: CallPlan, remainingMillis: Long, resumes: Boolean): Long {
+    val attemptTimeout = plan.route.config.retry.attemptTimeoutMillis
+    return when {
+        resumes -> attemptTimeout
+        plan.idempotent -> min(attemptTimeout, remainingMillis)
+        else -> remainingMillis
+    }
+}
+
+internal fun hedgeDue(state: CallState.Calling): CallTransition {
+    val plan = state.plan ?: return state.unchanged()
+    if (state.phase != CallPhase.Awaiting || state.running.size != 1 || !state.mayRetry()) return state.unchanged()
+    val excluded = state.excluded + state.running.values.map { it.instance }
+    return state.with(CallEffect.Select(plan.service, excluded, spendsBudget = true))
+}
+
+/** True if the call may make another attempt although one may have run. */
+internal fun CallState.Calling.mayRetry(): Boolean {
+    val plan = plan ?: return false
+    val replayable = request.body is RequestBody.Held
+    return plan.idempotent && replayable && started < plan.maxAttempts
+}
+
+/**
+ * Starts another attempt if the method is idempotent or no attempt can have run; else ends the call.
+ *
+ * @param repeatable false if another attempt would fail in the same way.
+ */
+internal fun CallState.Calling.retryOrGiveUp(
+    refusal: Refusal,
+    repeatable: Boolean,
+    spendsBudget: Boolean,
+): CallTransition {
+    val plan = plan ?: return unchanged()
+    // The hop may have taken part of a streamed body before it refused, and that part is not held.
+    val bodyLeft = request.body is RequestBody.Held || refusal.reason == RefusalReason.UNREACHABLE
+    val safe = plan.idempotent || !mayHaveRun
+    val outcome = if (mayHaveRun && refusal.outcome == Outcome.NOT_RUN) Outcome.UNKNOWN else refusal.outcome
+    val fallback = refusal.copy(outcome = outcome)
+    val another = repeatable && safe && bodyLeft
+    if (!another || started >= plan.maxAttempts) return giveUp(fallback)
+    if (running.isNotEmpty()) return unchanged()
+    return copy(phase = CallPhase.Selecting, fallback = fallback)
+        .with(CallEffect.Select(plan.service, excluded, spendsBudget))
+}
+
+/** Ends the call with [refusal]; a claim is released if the call provably did not run. */
+internal fun CallState.Calling.giveUp(refusal: Refusal): CallTransition {
+    val release = claim?.takeIf { refusal.outcome == Outcome.NOT_RUN }?.let { CallEffect.ReleaseClaim(it) }
+    val ended = copy(phase = CallPhase.Ended, running = emptyMap())
+    return CallTransition(ended, listOfNotNull(release, CallEffect.Refuse(refusal)))
+}
+
+internal fun CallState.Calling.abort(): CallTransition =
+    copy(phase = CallPhase.Ended, running = emptyMap()).with(CallEffect.AbortAnswer)
+
+internal fun CallTransition.prepend(vararg first: CallEffect): CallTransition =
+    copy(effects = first.toList() + effects)
+
+internal fun bodyBroke(state: CallState.Calling, event: CallEvent.BodyBroke): CallTransition {
+    val phase = state.phase
+    if (phase !is CallPhase.Streaming || phase.attempt != event.attempt) return state.unchanged()
+    val endpoint = state.running[event.attempt]
+    val settled = state.copy(running = emptyMap(), excluded = state.excluded + setOfNotNull(endpoint?.instance))
+    val sent = phase.sentBytes + event.sentBytes
+    return when {
+        event.failure == BodyFailure.RECEIVER_GONE -> settled.abort()
+        else -> settled.copy(phase = CallPhase.Resuming(phase.answer, sent)).resumeOrAbort()
+    }
+}
+
+/** Asks another endpoint for the rest of a body, if its entity tag proves that it is the same body. */
+internal fun CallState.Calling.resumeOrAbort(): CallTransition {
+    val plan = plan ?: return abort()
+    val phase = phase as? CallPhase.Resuming ?: return abort()
+    val resumable = request.method == "GET" && !request.hasRange && claim == null &&
+        phase.answer.statusCode == OK && phase.answer.strongTag != null && mayRetry()
+    if (!resumable) return abort()
+    return with(CallEffect.Select(plan.service, excluded, spendsBudget = true))
+}
+
+/** Passes the rest on only if it continues exactly the body that the caller has begun to receive. */
+internal fun resumeAnswered(state: CallState.Calling, event: CallEvent.AnswerStarted): CallTransition {
+    val phase = state.phase as? CallPhase.Resuming ?: return state.unchanged()
+    val range = event.answer.range
+    val total = range?.totalBytes
+    val fits = event.answer.statusCode == PARTIAL_CONTENT && range != null && total != null &&
+        event.answer.strongTag == phase.answer.strongTag &&
+        range.firstByte == phase.sentBytes && range.lastByte == total - 1 &&
+        (phase.answer.bodyBytes == null || phase.answer.bodyBytes == total) &&
+        (event.answer.bodyBytes == null || event.answer.bodyBytes == total - phase.sentBytes)
+    if (!fits) return state.abort().prepend(CallEffect.CancelAttempt(event.attempt))
+    val streaming = CallPhase.Streaming(event.attempt, phase.answer, phase.sentBytes)
+    return state.copy(phase = streaming).with(CallEffect.PassRest(event.attempt))
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/call/CallingReducer.kt
@@ -0,0 +1,161 @@
+package boragelever.core.call
+
+/** Status with which a repeat is answered while the first call has no recorded answer. */
+private const val CONFLICT = 409
+private const val UNPROCESSABLE = 422
+
+/** Reduces an event of a call on the node that the caller sent it to. */
+internal fun reduceCalling(state: CallState.Calling, event: CallEvent): CallTransition =
+    when (event) {
+        is CallEvent.Arrived -> admit(state, event)
+        is CallEvent.ClaimAnswered -> claimAnswered(state, event)
+        is CallEvent.EndpointSelected -> endpointSelected(state, event)
+        is CallEvent.SelectionFailed -> selectionFailed(state, event)
+        is CallEvent.AnswerStarted -> answerStarted(state, event)
+        is CallEvent.AttemptFailed -> attemptFailed(state, event)
+        is CallEvent.BodyEnded -> bodyEnded(state, event)
+        is CallEvent.BodyBroke -> bodyBroke(state, event)
+        is CallEvent.HedgeDue -> hedgeDue(state)
+        is CallEvent.DeadlinePassed -> deadlinePassed(state)
+        is CallEvent.CallerGone -> callerGone(state)
+        is CallEvent.SlotGranted, is CallEvent.SlotDenied -> state.unchanged()
+    }
+
+private fun claimAnswered(state: CallState.Calling, event: CallEvent.ClaimAnswered): CallTransition {
+    val plan = state.plan ?: return state.unchanged()
+    val row = state.request.key?.let { claimRow(it, plan.route.name) } ?: return state.unchanged()
+    if (state.phase == CallPhase.ClaimAbandoned) {
+        val ended = state.copy(phase = CallPhase.Ended)
+        return if (event.answer == ClaimAnswer.Won) ended.with(CallEffect.ReleaseClaim(row)) else ended.unchanged()
+    }
+    return when (val answer = event.answer) {
+        ClaimAnswer.Won -> {
+            val select = CallEffect.Select(plan.service, state.excluded, spendsBudget = false)
+            state.copy(phase = CallPhase.Selecting, claim = row).with(select)
+        }
+        is ClaimAnswer.Recorded -> state.copy(phase = CallPhase.Ended).with(CallEffect.Replay(answer.answer))
+        ClaimAnswer.Pending -> state.refuse(Refusal(CONFLICT, Outcome.UNKNOWN, RefusalReason.CLAIM_PENDING))
+        ClaimAnswer.OtherRequest -> state.refuse(notRun(UNPROCESSABLE, RefusalReason.KEY_REUSED))
+        ClaimAnswer.Failed -> state.refuse(notRun(UNAVAILABLE, RefusalReason.STORE_FAILED))
+    }
+}
+
+private fun selectionFailed(state: CallState.Calling, event: CallEvent.SelectionFailed): CallTransition =
+    when (state.phase) {
+        CallPhase.Selecting -> state.giveUp(state.fallback ?: notRun(UNAVAILABLE, event.reason))
+        is CallPhase.Resuming -> state.abort()
+        else -> state.unchanged()
+    }
+
+private fun attemptFailed(state: CallState.Calling, event: CallEvent.AttemptFailed): CallTransition {
+    val endpoint = state.running[event.attempt] ?: return state.unchanged()
+    val settled = state.copy(
+        running = state.running - event.attempt,
+        excluded = state.excluded + endpoint.instance,
+        mayHaveRun = state.mayHaveRun || event.failure.requestSent,
+    )
+    if (settled.running.isNotEmpty()) return settled.unchanged()
+    if (settled.phase is CallPhase.Resuming) return settled.resumeOrAbort()
+    val statusCode = if (event.failure.kind == FailureKind.SILENT) GATEWAY_TIMEOUT else BAD_GATEWAY
+    val fallback = if (event.failure.requestSent) {
+        Refusal(statusCode, Outcome.UNKNOWN, RefusalReason.ATTEMPT_FAILED)
+    } else {
+        notRun(UNAVAILABLE, RefusalReason.UNREACHABLE)
+    }
+    val repeatable = event.failure.kind != FailureKind.REQUEST_BROKEN
+    return settled.retryOrGiveUp(fallback, repeatable, spendsBudget = true)
+}
+
+private fun answerStarted(state: CallState.Calling, event: CallEvent.AnswerStarted): CallTransition {
+    val endpoint = state.running[event.attempt] ?: return state.unchanged()
+    if (state.phase is CallPhase.Resuming) return resumeAnswered(state, event)
+    if (state.phase != CallPhase.Awaiting) return state.unchanged()
+    val answer = event.answer
+    val tried = state.copy(running = state.running - event.attempt, excluded = state.excluded + endpoint.instance)
+    return when {
+        answer.outcome == Outcome.NOT_RUN -> tried.refusedByHop(answer)
+        answer.outcome != Outcome.COMPLETED -> {
+            val refusal = Refusal(answer.statusCode, Outcome.UNKNOWN, answer.refusal ?: RefusalReason.ATTEMPT_FAILED)
+            tried.copy(mayHaveRun = true).retryOrGiveUp(refusal, repeatable = true, spendsBudget = true)
+                .prepend(CallEffect.CancelAttempt(event.attempt))
+        }
+        answer.statusCode == UNAVAILABLE && tried.mayRetry() -> {
+            val refusal = Refusal(UNAVAILABLE, Outcome.COMPLETED, RefusalReason.SHED)
+            tried.copy(mayHaveRun = true).retryOrGiveUp(refusal, repeatable = true, spendsBudget = true)
+                .prepend(CallEffect.CancelAttempt(event.attempt))
+        }
+        else -> state.passOn(event.attempt, answer)
+    }
+}
+
+/** The last hop refused before dispatch, so any method may be tried again. */
+private fun CallState.Calling.refusedByHop(answer: AnswerHead): CallTransition {
+    val reason = answer.refusal ?: RefusalReason.SHED
+    val refusal = notRun(answer.statusCode, reason)
+    // A stale view of the members costs no upstream any work, so its correction does not use up the budget.
+    val staleView = reason in setOf(
+        RefusalReason.NOT_SERVING,
+        RefusalReason.UNKNOWN_INSTANCE,
+        RefusalReason.NODE_STOPPING,
+    )
+    val final = reason == RefusalReason.QUARANTINED || reason == RefusalReason.DEADLINE
+    return retryOrGiveUp(refusal, repeatable = !final, spendsBudget = !staleView)
+}
+
+private fun CallState.Calling.passOn(attempt: Int, answer: AnswerHead): CallTransition {
+    val others = (running.keys - attempt).map { CallEffect.CancelAttempt(it) }
+    val keep = plan?.takeIf { claim != null }
+        ?.let { CallEffect.KeepAnswer(it.route.config.idempotency.maxKeptBodyBytes) }
+    val streaming = copy(phase = CallPhase.Streaming(attempt, answer), running = running.filterKeys { it == attempt })
+    val effects = others + listOfNotNull(keep, CallEffect.PassAnswer(attempt, Outcome.COMPLETED))
+    return CallTransition(streaming, effects)
+}
+
+private fun bodyEnded(state: CallState.Calling, event: CallEvent.BodyEnded): CallTransition {
+    val phase = state.phase
+    if (phase !is CallPhase.Streaming || phase.attempt != event.attempt) return state.unchanged()
+    val record = listOfNotNull(state.claim?.let { CallEffect.RecordAnswer(it) })
+    return CallTransition(state.copy(phase = CallPhase.Ended, running = emptyMap()), record)
+}
+
+private fun deadlinePassed(state: CallState.Calling): CallTransition =
+    when (state.phase) {
+        CallPhase.Claiming -> {
+            val refusal = notRun(GATEWAY_TIMEOUT, RefusalReason.DEADLINE)
+            state.copy(phase = CallPhase.ClaimAbandoned).with(CallEffect.Refuse(refusal))
+        }
+        CallPhase.Selecting, CallPhase.Awaiting -> {
+            val cancelled = state.cancelRunning()
+            val outcome = if (cancelled.state.mayHaveRun) Outcome.UNKNOWN else Outcome.NOT_RUN
+            cancelled.state.giveUp(Refusal(GATEWAY_TIMEOUT, outcome, RefusalReason.DEADLINE))
+                .prepend(*cancelled.effects.toTypedArray())
+        }
+        else -> state.unchanged()
+    }
+
+/**
+ * Cancels the call unless it holds a claim and may be running: such a call is carried to its end, so that the caller's
+ * repeat gets the recorded answer.
+ */
+private fun callerGone(state: CallState.Calling): CallTransition {
+    val claim = state.claim
+    return when {
+        state.phase == CallPhase.Ended || state.phase == CallPhase.ClaimAbandoned -> state.unchanged()
+        state.phase == CallPhase.Claiming -> state.copy(phase = CallPhase.ClaimAbandoned).unchanged()
+        claim == null -> {
+            val cancelled = state.cancelRunning()
+            CallTransition(cancelled.state.copy(phase = CallPhase.Ended), cancelled.effects)
+        }
+        state.running.isNotEmpty() || state.mayHaveRun -> state.unchanged()
+        else -> state.copy(phase = CallPhase.Ended).with(CallEffect.ReleaseClaim(claim))
+    }
+}
+
+/** The state after cancelling and the effects that do it. */
+private class Cancelled(val state: CallState.Calling, val effects: List<CallEffect>)
+
+private fun CallState.Calling.cancelRunning(): Cancelled =
+    Cancelled(
+        copy(running = emptyMap(), mayHaveRun = mayHaveRun || running.isNotEmpty()),
+        running.keys.map { CallEffect.CancelAttempt(it) },
+    )
--- /dev/null
+++ b/core/src/main/kotlin/boragelever/core/call/LastHopReducer.kt
@@ -0,0 +1,132 @@
+package boragelever.core.call
+
+import boragelever.core.ServiceName
+import boragelever.core.config.QueueConfig
+import boragelever.core.control.UpstreamRecord
+import boragelever.core.control.UpstreamState
+import boragelever.core.routing.RoutingSnapshot
+
+/** Bound for a call whose sender set no deadline, so that a hanging upstream cannot hold a slot for ever. */
+private const val DEFAULT_DEADLINE_MILLIS = 60_000L
+
+/** The calling node detects stalled bodies by its route's setting; this bound only frees slots when it is gone. */
+private const val IDLE_TIMEOUT_MILLIS = 60_000L
+private const val ATTEMPT = 1
+
+/** Reduces an event of a call on the node beside its upstream. */
+internal fun reduceLastHop(state: CallState.LastHop, event: CallEvent): CallTransition =
+    if (state.phase == CallPhase.Ended) {
+        state.unchanged()
+    } else {
+        reduceOpenHop(state, event)
+    }
+
+private fun reduceOpenHop(state: CallState.LastHop, event: CallEvent): CallTransition =
+    when (event) {
+        is CallEvent.Arrived -> admitHop(state, event)
+        is CallEvent.SlotGranted -> dispatch(state, event)
+        is CallEvent.SlotDenied -> state.end(CallEffect.Refuse(notRun(UNAVAILABLE, RefusalReason.SHED)))
+        is CallEvent.AnswerStarted ->
+            state.copy(phase = CallPhase.Streaming(ATTEMPT, event.answer))
+                .with(CallEffect.PassAnswer(ATTEMPT, Outcome.COMPLETED))
+        is CallEvent.AttemptFailed -> dispatchFailed(state, event.failure)
+        is CallEvent.BodyEnded -> state.end()
+        is CallEvent.BodyBroke -> {
+            val death = state.deathReport().takeIf { event.failure == BodyFailure.RESET }
+            state.end(*listOfNotNull(death, CallEffect.AbortAnswer).toTypedArray())
+        }
+        is CallEvent.DeadlinePassed -> hopDeadlinePassed(state)
+        is CallEvent.CallerGone -> state.end(CallEffect.CancelAttempt(ATTEMPT))
+        is CallEvent.ClaimAnswered, is CallEvent.EndpointSelected, is CallEvent.SelectionFailed,
+        is CallEvent.HedgeDue,
+        -> state.unchanged()
+    }
+
+/** Refuses before dispatch whatever the upstream must not get. */
+private fun admitHop(state: CallState.LastHop, event: CallEvent.Arrived): CallTransition {
+    val snapshot = event.snapshot
+    val now = event.stamp.nowMillis
+    val upstream = snapshot?.localUpstreams?.get(state.request.instance)
+    val remaining = state.request.remainingMillis ?: DEFAULT_DEADLINE_MILLIS
+    val refusal = if (remaining > 0) hopRefusal(state.request, snapshot, upstream, now) else RefusalReason.DEADLINE
+    if (snapshot == null || upstream == null || refusal != null) {
+        val statusCode = if (refusal == RefusalReason.DEADLINE) GATEWAY_TIMEOUT else UNAVAILABLE
+        return state.end(CallEffect.Refuse(notRun(statusCode, refusal ?: RefusalReason.UNKNOWN_INSTANCE)))
+    }
+    val deadline = now + remaining
+    return state.copy(phase = CallPhase.Selecting, deadlineMillis = deadline, upstream = upstream)
+        .with(CallEffect.SetDeadline(deadline), CallEffect.AcquireSlot(upstream, queueOf(snapshot, upstream.service)))
+}
+
+private fun hopRefusal(
+    request: HopRequest,
+    snapshot: RoutingSnapshot?,
+    upstream: UpstreamRecord?,
+    nowMillis: Long,
+): RefusalReason? {
+    val fingerprint = request.fingerprint
+    return when {
+        snapshot == null -> RefusalReason.NO_CONFIGURATION
+        snapshot.draining -> RefusalReason.NODE_STOPPING
+        upstream == null -> RefusalReason.UNKNOWN_INSTANCE
+        upstream.state != UpstreamState.SERVING -> RefusalReason.NOT_SERVING
+        fingerprint != null && snapshot.isQuarantined(fingerprint, nowMillis) -> RefusalReason.QUARANTINED
+        else -> null
+    }
+}
+
+private fun queueOf(snapshot: RoutingSnapshot, service: ServiceName): QueueConfig =
+    snapshot.services[service]?.config?.queue ?: QueueConfig()
+
+private fun dispatch(state: CallState.LastHop, event: CallEvent.SlotGranted): CallTransition {
+    val upstream = state.upstream ?: return state.unchanged()
+    val remaining = state.deadlineMillis - event.stamp.nowMillis
+    val held = state.copy(holdsSlot = true)
+    if (remaining <= 0) return held.end(CallEffect.Refuse(notRun(GATEWAY_TIMEOUT, RefusalReason.DEADLINE)))
+    val start = CallEffect.StartAttempt(
+        attempt = ATTEMPT,
+        target = AttemptTarget.LocalUpstream(upstream, state.request.fingerprint),
+        attemptsLeft = state.request.attemptsLeft,
+        headTimeoutMillis = remaining,
+        remainingMillis = remaining,
+        idleTimeoutMillis = IDLE_TIMEOUT_MILLIS,
+        repeatable = false,
+    )
+    return held.copy(phase = CallPhase.Awaiting).with(start)
+}
+
+private fun dispatchFailed(state: CallState.LastHop, failure: AttemptFailure): CallTransition {
+    val died = failure.kind == FailureKind.REFUSED || failure.kind == FailureKind.RESET
+    val refusal = when {
+        !failure.requestSent -> notRun(UNAVAILABLE, RefusalReason.UPSTREAM_REFUSED)
+        failure.kind == FailureKind.SILENT -> Refusal(GATEWAY_TIMEOUT, Outcome.UNKNOWN, RefusalReason.DEADLINE)
+        else -> Refusal(BAD_GATEWAY, Outcome.UNKNOWN, RefusalReason.ATTEMPT_FAILED)
+    }
+    val effects = listOfNotNull(state.deathReport().takeIf { died }, CallEffect.Refuse(refusal))
+    return state.end(*effects.toTypedArray())
+}
+
+private fun hopDeadlinePassed(state: CallState.LastHop): CallTransition =
+    when (state.phase) {
+        CallPhase.Selecting ->
+            state.end(CallEffect.Refuse(notRun(GATEWAY_TIMEOUT, RefusalReason.DEADLINE)))
+        CallPhase.Awaiting ->
+            state.end(
+                CallEffect.CancelAttempt(ATTEMPT),
+                CallEffect.Refuse(Refusal(GATEWAY_TIMEOUT, Outcome.UNKNOWN, RefusalReason.DEADLINE)),
+            )
+        else -> state.unchanged()
+    }
+
+private fun CallState.LastHop.deathReport(): CallEffect? = upstream?.let { CallEffect.ReportDeath(it.instance) }
+
+/** Ends the call; the slot is given back before the answer is written, so that a slow receiver does not hold it. */
+private fun CallState.LastHop.end(vararg effects: CallEffect): CallTransition {
+    val release = listOfNotNull(CallEffect.ReleaseSlot.takeIf { holdsSlot })
+    // A report names the calls in flight, so it comes before this call leaves them.
+    val reports = effects.filterIsInstance<CallEffect.ReportDeath>()
+    return CallTransition(
+        copy(phase = CallPhase.Ended, holdsSlot = false),
+        reports + release + (effects.toList() - reports.toSet()),
+    )
+}
