--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/AttemptHeads.kt
@@ -0,0 +1,55 @@
+package boragelever.node.proxy
+
+import boragelever.core.NetworkAddress
+import boragelever.core.call.AttemptTarget
+import boragelever.core.call.CallEffect
+import boragelever.core.call.Outcome
+
+/** Address to which an attempt is sent. */
+internal val AttemptTarget.address: NetworkAddress
+    get() = when (this) {
+        is AttemptTarget.NextNode -> endpoint.callAddress
+        is AttemptTarget.LocalUpstream -> upstream.address
+    }
+
+/** Head of the request of one attempt. */
+internal fun attemptHead(call: IncomingCall, start: CallEffect.StartAttempt, traceparent: String?): RequestHead {
+    val resume = start.resume
+    val dropped = listOfNotNull(
+        TRACEPARENT.takeIf { traceparent != null },
+        "Range".takeIf { resume != null },
+        "If-Range".takeIf { resume != null },
+    )
+    val added = mutableListOf(Header(ATTEMPTS_LEFT, start.attemptsLeft.toString()))
+    start.remainingMillis?.let { added += Header(DEADLINE, it.toString()) }
+    traceparent?.let { added += Header(TRACEPARENT, it) }
+    resume?.let { added += listOf(Header("Range", "bytes=${it.fromByte}-"), Header("If-Range", it.strongTag)) }
+    val target = start.target
+    if (target is AttemptTarget.NextNode) {
+        added += Header(INSTANCE, target.endpoint.instance.value)
+        added += Header(FINGERPRINT, target.fingerprint.value)
+    }
+    val framing = call.body.framing
+    val announced = framing != BodyFraming.Sized(0) || call.head.headers["Content-Length"] != null
+    if (announced) added += framingHeader(framing)
+    val passed = call.head.headers.endToEnd(*dropped.toTypedArray())
+    return RequestHead(call.head.method, call.head.target, Headers(passed + added))
+}
+
+/** Head of an answer that is passed on. */
+internal fun passedHead(call: IncomingCall, exchange: Exchange, outcome: Outcome, load: ReportedLoad?): ResponseHead {
+    val head = exchange.head
+    // The length of an answer without a body, as to HEAD, describes the body that a GET would have.
+    val bodiless = exchange.framing == BodyFraming.Sized(0)
+    val framing = if (bodiless) {
+        head.headers["Content-Length"]?.let { Header("Content-Length", it) }
+    } else {
+        framingHeader(exchange.framing)
+    }
+    val added = listOfNotNull(framing, Header(OUTCOME, outcome.text), load?.let { Header(LOAD, it.toString()) })
+    return ResponseHead(head.statusCode, head.reason, Headers(head.headers.endToEnd() + added + call.closing()))
+}
+
+/** The header that announces the end of the connection, if the caller asked for it. */
+internal fun IncomingCall.closing(): List<Header> =
+    if (head.headers.hasToken("Connection", "close")) listOf(Header("Connection", "close")) else emptyList()
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
@@ -0,0 +1,266 @@
+package boragelever.node.proxy
+
+import boragelever.core.InstanceId
+import boragelever.core.call.AnswerHead
+import boragelever.core.call.AttemptFailure
+import boragelever.core.call.AttemptTarget
+import boragelever.core.call.BodyFailure
+import boragelever.core.call.CallEffect
+import boragelever.core.call.CallEvent
+import boragelever.core.call.FailureKind
+import boragelever.core.call.Outcome
+import boragelever.core.call.RefusalReason
+import com.github.michaelbull.result.onErr
+import com.github.michaelbull.result.onOk
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+
+/** A refusal of a node is a short text; a longer body is not read but cut off. */
+private const val MAX_REFUSAL_BYTES = 4_096
+private const val SERVER_ERROR = 500
+
+/** The attempts of one call, with what is counted and traced for them. */
+internal class AttemptSet(
+    private val context: TrafficContext,
+    private val call: IncomingCall,
+    private val post: (CallEvent) -> Unit,
+) {
+    private class Attempt(val start: CallEffect.StartAttempt, val trace: AttemptTrace) {
+        var job: Job? = null
+        var exchange: Exchange? = null
+
+        /** Counts the attempt as load of its endpoint. */
+        var counted: AutoCloseable? = null
+
+        /** Names the call among those that run in the local upstream. */
+        var listed: AutoCloseable? = null
+        private var ended = false
+
+        val instance: InstanceId
+            get() = when (val target = start.target) {
+                is AttemptTarget.NextNode -> target.endpoint.instance
+                is AttemptTarget.LocalUpstream -> target.upstream.instance
+            }
+
+        fun end(result: String, outcome: Outcome?) {
+            counted?.close()
+            if (!ended) trace.ended(result, outcome)
+            ended = true
+        }
+    }
+
+    private val running = mutableMapOf<Int, Attempt>()
+    private var keeping = false
+    private var kept: ByteArrayOutputStream? = null
+    private var keepLimit = 0L
+    private var keptBytes = 0L
+    private var passed: Exchange? = null
+
+    /** Attempts started so far. */
+    var started = 0
+        private set
+
+    fun start(scope: CoroutineScope, start: CallEffect.StartAttempt, trace: CallTrace) {
+        started += 1
+        val instance = when (val target = start.target) {
+            is AttemptTarget.NextNode -> target.endpoint.instance
+            is AttemptTarget.LocalUpstream -> target.upstream.instance
+        }
+        val attempt = Attempt(start, trace.attemptStarted(start.attempt, instance))
+        running[start.attempt] = attempt
+        if (start.target is AttemptTarget.NextNode) attempt.counted = context.endpoints.begin(instance)
+        attempt.job = scope.launch { send(scope, attempt) }
+    }
+
+    /** Keeps the body of the answer that is passed on, up to [maxBytes]. */
+    fun keepAnswer(maxBytes: Long) {
+        keeping = true
+        kept = ByteArrayOutputStream()
+        keepLimit = maxBytes
+    }
+
+    /** The answer that was passed on, or `null` if none was. */
+    fun keptAnswer(): KeptAnswer? {
+        val exchange = passed ?: return null
+        return KeptAnswer(
+            exchange.head.statusCode,
+            exchange.head.headers["Content-Type"],
+            keptBytes,
+            kept?.toByteArray(),
+        )
+    }
+
+    fun cancel(number: Int) {
+        val attempt = running.remove(number) ?: return
+        attempt.job?.cancel()
+        attempt.exchange?.abort()
+        attempt.listed?.close()
+        attempt.end("cancelled", null)
+    }
+
+    /** An endpoint that used up the whole time of a call counts as failed. */
+    fun noteDeadline() {
+        running.values.filter { it.exchange == null }.forEach { noteFailure(it) }
+    }
+
+    fun close() {
+        running.keys.toList().forEach { cancel(it) }
+    }
+
+    fun passAnswer(scope: CoroutineScope, number: Int, outcome: Outcome) {
+        val attempt = running[number] ?: return
+        val exchange = attempt.exchange ?: return
+        passed = exchange
+        val load = (attempt.start.target as? AttemptTarget.LocalUpstream)?.let { context.locals.load(attempt.instance) }
+        call.reply.begin(passedHead(call, exchange, outcome, load), exchange.framing)
+        attempt.job = scope.launch { pass(attempt, exchange) }
+    }
+
+    fun passRest(scope: CoroutineScope, number: Int) {
+        val attempt = running[number] ?: return
+        val exchange = attempt.exchange ?: return
+        attempt.job = scope.launch { pass(attempt, exchange) }
+    }
+
+    private suspend fun send(scope: CoroutineScope, attempt: Attempt) {
+        val start = attempt.start
+        val head = attemptHead(call, start, attempt.trace.traceparent)
+        val request = OutgoingRequest(start.target.address, head, call.body)
+        val result = context.client.send(request, start.headTimeoutMillis, start.repeatable, scope) {
+            noteRunning(attempt)
+        }
+        result.onOk { answered(attempt, it) }.onErr { failed(attempt, it) }
+    }
+
+    /** From the first byte on, the request may be what the upstream dies of. */
+    private fun noteRunning(attempt: Attempt) {
+        val target = attempt.start.target as? AttemptTarget.LocalUpstream ?: return
+        attempt.listed = target.fingerprint?.let { context.locals.running(attempt.instance, it) }
+    }
+
+    private suspend fun answered(attempt: Attempt, exchange: Exchange) {
+        attempt.exchange = exchange
+        val fromNode = attempt.start.target is AttemptTarget.NextNode
+        val stated = answerHeadOf(exchange.head, exchange.framing, trusted = fromNode)
+        if (fromNode) {
+            parseLoad(exchange.head.headers[LOAD])?.let { context.endpoints.report(attempt.instance, it) }
+            noteAnswer(attempt, stated)
+        }
+        if (stated.outcome == Outcome.NOT_RUN) {
+            drain(exchange)
+            settle(attempt, stated.refusal?.text ?: stated.statusCode.toString(), stated.outcome)
+        }
+        post(CallEvent.AnswerStarted(context.clock.stamp(), attempt.start.attempt, stated))
+    }
+
+    private fun failed(attempt: Attempt, failure: AttemptFailure) {
+        if (failure.kind != FailureKind.REQUEST_BROKEN) noteFailure(attempt)
+        post(CallEvent.AttemptFailed(context.clock.stamp(), attempt.start.attempt, failure))
+        // The call stays listed until it ends, so that a report of the upstream's death names it.
+        attempt.end(failure.kind.name.lowercase(), null)
+    }
+
+    private fun noteAnswer(attempt: Attempt, answer: AnswerHead) {
+        val failed = answer.outcome == Outcome.UNKNOWN || answer.refusal == RefusalReason.UPSTREAM_REFUSED ||
+            (answer.outcome == Outcome.COMPLETED && answer.statusCode >= SERVER_ERROR)
+        when {
+            failed -> noteFailure(attempt)
+            answer.outcome == Outcome.COMPLETED -> serviceOf(attempt)?.let {
+                context.endpoints.succeeded(attempt.instance, it.config.outlier)
+            }
+        }
+    }
+
+    private fun noteFailure(attempt: Attempt) {
+        serviceOf(attempt)?.let { context.endpoints.failed(attempt.instance, it) }
+    }
+
+    private fun serviceOf(attempt: Attempt) =
+        (attempt.start.target as? AttemptTarget.NextNode)
+            ?.let { context.snapshots.current()?.services?.get(it.endpoint.service) }
+
+    private suspend fun drain(exchange: Exchange) {
+        val buffer = ByteArray(MAX_REFUSAL_BYTES)
+        try {
+            var total = 0
+            while (total <= MAX_REFUSAL_BYTES) {
+                val count = exchange.body.read(buffer)
+                if (count < 0) break
+                total += count
+            }
+        } catch (failure: IOException) {
+            exchange.abort()
+        }
+        exchange.end()
+    }
+
+    /** Passes the body on in constant memory: the next part is read only after the caller's socket took the last. */
+    private suspend fun pass(attempt: Attempt, exchange: Exchange) {
+        val buffer = ByteArray(COPY_BUFFER_BYTES)
+        var sent = 0L
+        var failure: BodyFailure? = null
+        while (failure == null) {
+            val count = try {
+                if (!exchange.hasBuffered) tell { flush() }
+                withTimeoutOrNull(attempt.start.idleTimeoutMillis) { exchange.body.read(buffer) }
+            } catch (broken: IOException) {
+                failure = failureOf(broken, exchange)
+                break
+            }
+            if (count == null) failure = BodyFailure.STALLED
+            if (count == null || count < 0) break
+            keep(buffer, count)
+            if (!tell { write(buffer, count) }) failure = BodyFailure.RECEIVER_GONE
+            sent += count
+        }
+        if (failure == null && !tell { finish() }) failure = BodyFailure.RECEIVER_GONE
+        conclude(attempt, exchange, sent, failure)
+    }
+
+    private suspend fun failureOf(broken: IOException, exchange: Exchange): BodyFailure =
+        when {
+            broken is MalformedMessage -> BodyFailure.MALFORMED
+            // A sender that accepts new connections has broken off one answer but is alive.
+            exchange.senderAccepts() -> BodyFailure.MALFORMED
+            else -> BodyFailure.RESET
+        }
+
+    private fun conclude(attempt: Attempt, exchange: Exchange, sent: Long, failure: BodyFailure?) {
+        val number = attempt.start.attempt
+        val stamp = context.clock.stamp()
+        if (failure == null) {
+            exchange.end()
+            settle(attempt, exchange.head.statusCode.toString(), Outcome.COMPLETED)
+            post(CallEvent.BodyEnded(stamp, number))
+        } else {
+            exchange.abort()
+            if (failure != BodyFailure.RECEIVER_GONE) noteFailure(attempt)
+            post(CallEvent.BodyBroke(stamp, number, sent, failure))
+            attempt.end(failure.name.lowercase(), Outcome.UNKNOWN)
+        }
+    }
+
+    /** Writes to the caller. An answer that is kept for a repeat is read to its end even if the caller is gone. */
+    private suspend fun tell(write: suspend ReplyWriter.() -> Unit): Boolean =
+        try {
+            call.reply.write()
+            true
+        } catch (failure: IOException) {
+            keeping
+        }
+
+    private fun keep(buffer: ByteArray, count: Int) {
+        keptBytes += count
+        if (keptBytes > keepLimit) kept = null else kept?.write(buffer, 0, count)
+    }
+
+    private fun settle(attempt: Attempt, result: String, outcome: Outcome?) {
+        attempt.listed?.close()
+        attempt.end(result, outcome)
+        running.remove(attempt.start.attempt)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/CallBody.kt
@@ -0,0 +1,65 @@
+package boragelever.node.proxy
+
+import boragelever.core.call.RequestBody
+import boragelever.core.sha256
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+
+/** Size of the pieces in which bodies are passed on. */
+internal const val COPY_BUFFER_BYTES: Int = 16_384
+
+/** Body of a request as received. */
+internal sealed interface CallBody {
+    /** How the body is announced to the receiver. */
+    val framing: BodyFraming
+
+    /** The whole body is held and can be sent again. */
+    class Held(val bytes: ByteArray) : CallBody {
+        override val framing: BodyFraming get() = BodyFraming.Sized(bytes.size.toLong())
+    }
+
+    /** The body is read from the caller while it is sent; it can be read only once. */
+    class Streamed(
+        override val framing: BodyFraming,
+        private val prefix: ByteArray,
+        private val rest: BodyReader,
+        private val receiveTimeoutMillis: Long,
+    ) : CallBody {
+        private var prefixRead = 0
+
+        /** Reads at least one byte, or returns -1 at the end of the whole body. */
+        suspend fun read(target: ByteArray): Int {
+            val fromPrefix = minOf(target.size, prefix.size - prefixRead)
+            if (fromPrefix > 0) {
+                prefix.copyInto(target, 0, prefixRead, prefixRead + fromPrefix)
+                prefixRead += fromPrefix
+                return fromPrefix
+            }
+            return withTimeoutOrNull(receiveTimeoutMillis) { rest.read(target) }
+                ?: throw MalformedMessage(REQUEST_TIMEOUT, "the body stalled")
+        }
+    }
+}
+
+/** What the call's reducer needs to know of a body. */
+internal fun CallBody.facts(): RequestBody =
+    when (this) {
+        is CallBody.Held -> RequestBody.Held(bytes.size, if (bytes.isEmpty()) null else sha256(bytes))
+        is CallBody.Streamed -> RequestBody.Streamed((framing as? BodyFraming.Sized)?.bytes)
+    }
+
+/** Reads a body of up to [ProxySettings.heldBodyBytes] as a whole; a larger one is left to be streamed. */
+internal suspend fun receiveBody(reader: BodyReader, framing: BodyFraming, settings: ProxySettings): CallBody {
+    if (framing is BodyFraming.Sized && framing.bytes > settings.heldBodyBytes) {
+        return CallBody.Streamed(framing, ByteArray(0), reader, settings.receiveTimeoutMillis)
+    }
+    val held = ByteArrayOutputStream()
+    val buffer = ByteArray(COPY_BUFFER_BYTES)
+    while (held.size() <= settings.heldBodyBytes) {
+        val count = withTimeoutOrNull(settings.receiveTimeoutMillis) { reader.read(buffer) }
+            ?: throw MalformedMessage(REQUEST_TIMEOUT, "the body stalled")
+        if (count < 0) return CallBody.Held(held.toByteArray())
+        held.write(buffer, 0, count)
+    }
+    return CallBody.Streamed(framing, held.toByteArray(), reader, settings.receiveTimeoutMillis)
+}
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/CallHeaders.kt
@@ -0,0 +1,79 @@
+package boragelever.node.proxy
+
+import boragelever.core.call.AnswerHead
+import boragelever.core.call.AnswerRange
+import boragelever.core.call.Outcome
+import boragelever.core.call.RefusalReason
+
+internal const val INTERNAL_PREFIX: String = "boragelever-"
+internal const val OUTCOME: String = "boragelever-outcome"
+internal const val REASON: String = "boragelever-reason"
+internal const val LOAD: String = "boragelever-load"
+internal const val INSTANCE: String = "boragelever-instance"
+internal const val FINGERPRINT: String = "boragelever-fingerprint"
+internal const val ATTEMPTS_LEFT: String = "boragelever-attempts-left"
+internal const val DEADLINE: String = "boragelever-deadline-ms"
+internal const val RECORDED_STATUS: String = "boragelever-recorded-status"
+internal const val IDEMPOTENCY_KEY: String = "Idempotency-Key"
+internal const val TRACEPARENT: String = "traceparent"
+
+/** Headers that concern one connection only and are never passed on. */
+private val HOP_BY_HOP = setOf(
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+)
+
+/** Headers to pass on: without those of the connection, without the internal ones, and without [dropped]. */
+internal fun Headers.endToEnd(vararg dropped: String): List<Header> {
+    val named = all("Connection").flatMap { it.split(',') }.map { it.trim().lowercase() }.toSet()
+    val others = dropped.map { it.lowercase() }.toSet()
+    return entries.filter { header ->
+        val name = header.name.lowercase()
+        name !in HOP_BY_HOP && name !in named && name !in others && !name.startsWith(INTERNAL_PREFIX)
+    }
+}
+
+internal fun framingHeader(framing: BodyFraming): Header =
+    when (framing) {
+        is BodyFraming.Sized -> Header("Content-Length", framing.bytes.toString())
+        BodyFraming.Chunked -> Header("Transfer-Encoding", "chunked")
+    }
+
+/** What the call's reducer needs to know of an answer; [trusted] if it comes from a node. */
+internal fun answerHeadOf(head: ResponseHead, framing: BodyFraming, trusted: Boolean): AnswerHead =
+    AnswerHead(
+        statusCode = head.statusCode,
+        outcome = if (trusted) Outcome.parse(head.headers[OUTCOME]) else null,
+        refusal = if (trusted) RefusalReason.parse(head.headers[REASON]) else null,
+        strongTag = head.headers["ETag"]?.takeIf { it.startsWith('"') && it.endsWith('"') && it.length > 2 },
+        bodyBytes = (framing as? BodyFraming.Sized)?.bytes,
+        range = head.headers["Content-Range"]?.let { parseRange(it) },
+    )
+
+private val CONTENT_RANGE = Regex("bytes (\\d{1,18})-(\\d{1,18})/(\\d{1,18}|\\*)")
+
+private fun parseRange(text: String): AnswerRange? {
+    val (first, last, total) = CONTENT_RANGE.matchEntire(text.trim())?.destructured ?: return null
+    return AnswerRange(first.toLong(), last.toLong(), total.toLongOrNull())
+}
+
+/** Load as carried on answers: calls in flight and slots. */
+internal data class ReportedLoad(val inFlight: Int, val slots: Int) {
+    override fun toString(): String = "$inFlight/$slots"
+}
+
+internal fun parseLoad(text: String?): ReportedLoad? {
+    val parts = text?.split('/') ?: return null
+    val inFlight = parts.getOrNull(0)?.toIntOrNull() ?: return null
+    val slots = parts.getOrNull(1)?.toIntOrNull() ?: return null
+    return ReportedLoad(inFlight, slots).takeIf { inFlight >= 0 && slots > 0 && parts.size == 2 }
+}
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/CallRunner.kt
@@ -0,0 +1,237 @@
+package boragelever.node.proxy
+
+import boragelever.core.Digest
+import boragelever.core.call.AttemptTarget
+import boragelever.core.call.CallEffect
+import boragelever.core.call.CallEvent
+import boragelever.core.call.CallPhase
+import boragelever.core.call.CallState
+import boragelever.core.call.ClaimAnswer
+import boragelever.core.call.Outcome
+import boragelever.core.call.Refusal
+import boragelever.core.call.RefusalReason
+import boragelever.core.call.phase
+import boragelever.core.call.reduceCall
+import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.selectEndpoint
+import boragelever.core.store.RecordedAnswer
+import boragelever.core.store.RowKey
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+
+/** Time that a refusal waits for the release of its claim, so that a prompt repeat can run. */
+private const val RELEASE_WAIT_MILLIS = 500L
+private const val CONFLICT = 409
+
+/** Carries one call: reduces its events and runs the effects. */
+internal class CallRunner(private val context: TrafficContext, private val call: IncomingCall) {
+    private val events = Channel<CallEvent>(Channel.UNLIMITED)
+    private val attempts = AttemptSet(context, call) { events.trySend(it) }
+    private var state: CallState = call.initialState()
+    private var slot: SlotGate? = null
+    private var claim: HeldClaim? = null
+    private var tier: LocalityTier? = null
+    private var refusalOutcome: Outcome? = null
+    private val trace = context.telemetry.callStarted(
+        CallDescription(
+            call.kind,
+            call.head.method,
+            call.head.target.substringBefore('?'),
+            call.head.headers[TRACEPARENT],
+        ),
+    )
+
+    /** Carries the call to its end. */
+    suspend fun run() {
+        val startedNanos = System.nanoTime()
+        try {
+            coroutineScope {
+                watchCaller(this)
+                events.trySend(arrived())
+                while (state.phase != CallPhase.Ended) step(events.receive())
+                // What still runs belongs to cancelled attempts, to timers or to the watch on the caller.
+                coroutineContext.job.children.toList().forEach { it.cancelAndJoin() }
+            }
+        } finally {
+            releaseSlot()
+            attempts.close()
+            trace.ended(summary(System.nanoTime() - startedNanos))
+        }
+    }
+
+    private fun arrived(): CallEvent {
+        val snapshot = context.snapshots.current()
+        val stopping = if (context.draining) snapshot?.copy(draining = true) else snapshot
+        val inFlight = context.inFlight.getValue(call.kind).get()
+        return CallEvent.Arrived(context.clock.stamp(), stopping, inFlight)
+    }
+
+    private suspend fun CoroutineScope.step(event: CallEvent) {
+        if (event is CallEvent.DeadlinePassed) attempts.noteDeadline()
+        val transition = reduceCall(state, event)
+        state = transition.state
+        if (event is CallEvent.Arrived) depositBudget()
+        transition.effects.forEach { execute(it) }
+    }
+
+    private suspend fun CoroutineScope.execute(effect: CallEffect) {
+        when (effect) {
+            is CallEffect.TakeClaim -> launch { takeClaim(effect.row, effect.requestDigest) }
+            is CallEffect.ReleaseClaim -> releaseClaim()
+            is CallEffect.RecordAnswer -> recordAnswer()
+            is CallEffect.KeepAnswer -> attempts.keepAnswer(effect.maxBodyBytes)
+            is CallEffect.Select -> select(effect)
+            is CallEffect.AcquireSlot -> launch { acquireSlot(effect) }
+            is CallEffect.ReleaseSlot -> releaseSlot()
+            is CallEffect.StartAttempt -> {
+                tier = (effect.target as? AttemptTarget.NextNode)?.endpoint?.tier ?: tier
+                attempts.start(this, effect, trace)
+            }
+            is CallEffect.CancelAttempt -> attempts.cancel(effect.attempt)
+            is CallEffect.SetHedgeTimer -> after(effect.delayMillis) { CallEvent.HedgeDue(context.clock.stamp()) }
+            is CallEffect.SetDeadline -> {
+                val delayMillis = effect.atMillis - context.clock.nowMillis()
+                after(delayMillis) { CallEvent.DeadlinePassed(context.clock.stamp()) }
+            }
+            is CallEffect.PassAnswer -> attempts.passAnswer(this, effect.attempt, effect.outcome)
+            is CallEffect.PassRest -> attempts.passRest(this, effect.attempt)
+            is CallEffect.Replay -> replay(effect.answer)
+            is CallEffect.Refuse -> refuse(effect.refusal)
+            is CallEffect.AbortAnswer -> call.reply.abort()
+            is CallEffect.ReportDeath -> context.locals.reportDeath(effect.instance)
+        }
+    }
+
+    private fun CoroutineScope.after(delayMillis: Long, event: () -> CallEvent): Job =
+        launch {
+            delay(delayMillis)
+            events.trySend(event())
+        }
+
+    private fun watchCaller(scope: CoroutineScope) {
+        // A streamed body is read from the same connection, and its end shows there.
+        if (call.body is CallBody.Streamed) return
+        scope.launch {
+            val open = try {
+                call.input.awaitByte()
+            } catch (failure: IOException) {
+                false
+            }
+            if (!open) events.trySend(CallEvent.CallerGone(context.clock.stamp()))
+        }
+    }
+
+    private fun depositBudget() {
+        val route = (state as? CallState.Calling)?.plan?.route ?: return
+        context.budgets.deposit(route.name, route.config.retry.budgetPercent)
+    }
+
+    private suspend fun takeClaim(row: RowKey, digest: Digest) {
+        val (answer, held) = context.claims.take(row, digest)
+        claim = held
+        events.trySend(CallEvent.ClaimAnswered(context.clock.stamp(), answer))
+    }
+
+    private suspend fun releaseClaim() {
+        val held = claim ?: return
+        val release = context.background.launch { context.claims.release(held) }
+        withTimeoutOrNull(RELEASE_WAIT_MILLIS) { release.join() }
+    }
+
+    private fun recordAnswer() {
+        val held = claim ?: return
+        val answer = attempts.keptAnswer() ?: return
+        context.background.launch { context.claims.record(held, answer) }
+    }
+
+    private fun select(effect: CallEffect.Select) {
+        val stamp = context.clock.stamp()
+        val route = (state as? CallState.Calling)?.plan?.route?.name
+        val service = context.snapshots.current()?.services?.get(effect.service)
+        val endpoint = service?.let { selectEndpoint(it, context.endpoints.view, stamp, effect.excluded) }
+        val event = when {
+            endpoint == null -> CallEvent.SelectionFailed(stamp, RefusalReason.NO_ENDPOINT)
+            effect.spendsBudget && route != null && !context.budgets.withdraw(route) ->
+                CallEvent.SelectionFailed(stamp, RefusalReason.BUDGET_SPENT)
+            else -> CallEvent.EndpointSelected(stamp, endpoint)
+        }
+        events.trySend(event)
+    }
+
+    private suspend fun acquireSlot(effect: CallEffect.AcquireSlot) {
+        val gate = context.locals.gate(effect.upstream)
+        val granted = gate.acquire(effect.queue.maxWaiting, effect.queue.maxWaitMillis)
+        if (granted) slot = gate
+        val stamp = context.clock.stamp()
+        events.trySend(if (granted) CallEvent.SlotGranted(stamp) else CallEvent.SlotDenied(stamp))
+    }
+
+    private fun releaseSlot() {
+        slot?.release()
+        slot = null
+    }
+
+    private suspend fun refuse(refusal: Refusal) {
+        refusalOutcome = refusal.outcome
+        val text = refusalText(refusal).encodeToByteArray()
+        val load = loadHeader()
+        writeWhole(refusalHead(refusal, text.size, listOfNotNull(load) + call.closing()), text)
+    }
+
+    private fun loadHeader(): Header? =
+        (state as? CallState.LastHop)?.let { context.locals.load(it.request.instance) }
+            ?.let { Header(LOAD, it.toString()) }
+
+    /** Answers with the recorded answer, or says that the call ran if its body was not kept or cannot be read. */
+    private suspend fun replay(answer: RecordedAnswer) {
+        refusalOutcome = Outcome.COMPLETED
+        val body = answer.body?.let { context.claims.readBody(it) }
+        val bytes = body ?: ByteArray(0).takeIf { answer.bodySizeBytes == 0L }
+        if (bytes == null) {
+            val refusal = Refusal(CONFLICT, Outcome.COMPLETED, RefusalReason.ANSWER_NOT_KEPT)
+            val text = refusalText(refusal).encodeToByteArray()
+            val recorded = Header(RECORDED_STATUS, answer.statusCode.toString())
+            writeWhole(refusalHead(refusal, text.size, listOf(recorded) + call.closing()), text)
+            return
+        }
+        val headers = listOfNotNull(
+            answer.contentType?.let { Header("Content-Type", it) },
+            Header("Content-Length", bytes.size.toString()),
+            Header(OUTCOME, Outcome.COMPLETED.text),
+            Header(RECORDED_STATUS, answer.statusCode.toString()),
+        )
+        val head = ResponseHead(answer.statusCode, reasonPhrase(answer.statusCode), Headers(headers + call.closing()))
+        writeWhole(head, bytes)
+    }
+
+    private suspend fun writeWhole(head: ResponseHead, bytes: ByteArray) {
+        val body = if (call.head.method == "HEAD") ByteArray(0) else bytes
+        try {
+            call.reply.sendWhole(head, body)
+        } catch (failure: IOException) {
+            call.reply.abort()
+        }
+    }
+
+    private fun summary(durationNanos: Long): CallSummary {
+        val plan = (state as? CallState.Calling)?.plan
+        return CallSummary(
+            statusCode = call.reply.statusCode,
+            outcome = refusalOutcome ?: Outcome.COMPLETED.takeIf { call.reply.whole },
+            durationNanos = durationNanos,
+            attempts = attempts.started,
+            route = plan?.route?.name,
+            service = plan?.service ?: (state as? CallState.LastHop)?.upstream?.service,
+            tier = tier,
+            whole = call.reply.whole,
+        )
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/ClaimStore.kt
@@ -0,0 +1,220 @@
+package boragelever.node.proxy
+
+import boragelever.core.Digest
+import boragelever.core.NodeId
+import boragelever.core.call.ClaimAnswer
+import boragelever.core.store.ByteBlock
+import boragelever.core.store.ObjectKey
+import boragelever.core.store.RecordedAnswer
+import boragelever.core.store.Revision
+import boragelever.core.store.Row
+import boragelever.core.store.RowCondition
+import boragelever.core.store.RowKey
+import boragelever.core.store.RowValue
+import boragelever.core.store.RowWrite
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreCommand
+import boragelever.core.store.StoreFailure
+import boragelever.core.store.WriteId
+import boragelever.platform.Platform
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import java.util.UUID
+
+private val log = KotlinLogging.logger {}
+
+/** Rows in one transaction; bounds its size while the store is slow. */
+private const val MAX_BATCH = 64
+
+/** Operations that wait for the store; beyond it claims fail at once, which refuses the calls as not run. */
+private const val MAX_WAITING = 1_024
+
+/** Attempts to write an answer or to release a claim, which are safe to repeat since they name a revision. */
+private const val MAX_UPDATE_ATTEMPTS = 5
+
+/** What an operation on a claim row came to. */
+private sealed interface ClaimResult {
+    data class Written(val row: Row?) : ClaimResult
+
+    data class Refused(val current: Row?) : ClaimResult
+
+    data object Failed : ClaimResult
+}
+
+private class ClaimOperation(
+    val condition: RowCondition,
+    val write: RowWrite,
+    val result: CompletableDeferred<ClaimResult> = CompletableDeferred(),
+) {
+    val key: RowKey get() = write.key
+}
+
+/** The answer of a claimed call as it is recorded. */
+internal class KeptAnswer(
+    val statusCode: Int,
+    val contentType: String?,
+    val sizeBytes: Long,
+    /** The whole body, or `null` if it exceeds the limit. */
+    val body: ByteArray?,
+)
+
+/** A claim that this node holds. */
+internal class HeldClaim(val row: RowKey, val requestDigest: Digest, val revision: Revision, val atEpochMillis: Long)
+
+/**
+ * Reserves the single run of keyed calls in the platform's table.
+ *
+ * One transaction is in flight at a time and carries all operations that gathered meanwhile, so that the store's
+ * writes per second do not grow with the calls. A conflict concerns only the rows whose condition failed; the others
+ * are written again without them.
+ */
+internal class ClaimStore(
+    private val platform: Platform,
+    private val node: NodeId,
+    private val clock: TrafficClock,
+    private val newWriteId: () -> WriteId = { WriteId(UUID.randomUUID().toString()) },
+) {
+    private val waiting = Channel<ClaimOperation>(MAX_WAITING)
+
+    /** Executes operations until it is cancelled. */
+    suspend fun run() {
+        for (first in waiting) {
+            val batch = mutableListOf(first)
+            while (batch.size < MAX_BATCH) batch += waiting.tryReceive().getOrNull() ?: break
+            try {
+                execute(batch)
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (failure: Exception) {
+                // Calls would wait for ever for an operation that no one executes.
+                log.error(failure) { "calls: the platform failed unexpectedly; the claims of this batch are refused" }
+                fail(batch)
+            }
+        }
+    }
+
+    /** Inserts the claim row if it is absent. The held claim is set if and only if the answer is `Won`. */
+    suspend fun take(row: RowKey, requestDigest: Digest): Pair<ClaimAnswer, HeldClaim?> {
+        val now = clock.epochMillis()
+        val claim = RowValue.Claim(requestDigest, node, now)
+        return when (val result = submit(RowCondition.Absent(row), RowWrite.Put(row, claim))) {
+            is ClaimResult.Written -> {
+                val revision = result.row?.revision ?: return ClaimAnswer.Failed to null
+                ClaimAnswer.Won to HeldClaim(row, requestDigest, revision, now)
+            }
+            is ClaimResult.Refused -> answerOf(result.current, requestDigest) to null
+            ClaimResult.Failed -> ClaimAnswer.Failed to null
+        }
+    }
+
+    /** Deletes a claim whose call provably did not run. */
+    suspend fun release(claim: HeldClaim) {
+        update(claim, RowWrite.Delete(claim.row))
+    }
+
+    /** Stores the answer of a claimed call, its body first, so that a recorded answer always has its body. */
+    suspend fun record(claim: HeldClaim, answer: KeptAnswer) {
+        val body = answer.body?.takeIf { it.isNotEmpty() }?.let { bytes ->
+            val key = ObjectKey("answer/" + claim.row.value.substringAfter('/'))
+            val written = platform.execute(StoreCommand.PutObject(key, ByteBlock(bytes)))
+            key.takeIf { written is StoreAnswer.ObjectWritten }
+        }
+        val recorded = RecordedAnswer(answer.statusCode, answer.contentType, body, answer.sizeBytes)
+        val value = RowValue.Claim(claim.requestDigest, node, claim.atEpochMillis, recorded)
+        update(claim, RowWrite.Put(claim.row, value))
+    }
+
+    /** Reads the body of a recorded answer, or returns `null` if it cannot be read now. */
+    suspend fun readBody(key: ObjectKey): ByteArray? =
+        when (val answer = platform.execute(StoreCommand.GetObject(key))) {
+            is StoreAnswer.ObjectRead -> answer.bytes.toByteArray()
+            else -> null
+        }
+
+    private suspend fun update(claim: HeldClaim, write: RowWrite) {
+        repeat(MAX_UPDATE_ATTEMPTS) {
+            if (submit(RowCondition.RevisionIs(claim.row, claim.revision), write) != ClaimResult.Failed) return
+        }
+        log.warn { "calls: claim ${claim.row} could not be updated; a repeat is answered with outcome unknown" }
+    }
+
+    private suspend fun submit(condition: RowCondition, write: RowWrite): ClaimResult {
+        val operation = ClaimOperation(condition, write)
+        if (waiting.trySend(operation).isFailure) return ClaimResult.Failed
+        return operation.result.await()
+    }
+
+    private fun answerOf(current: Row?, requestDigest: Digest): ClaimAnswer {
+        val claim = current?.value as? RowValue.Claim ?: return ClaimAnswer.Failed
+        return when {
+            claim.requestDigest != requestDigest -> ClaimAnswer.OtherRequest
+            else -> claim.answer?.let { ClaimAnswer.Recorded(it) } ?: ClaimAnswer.Pending
+        }
+    }
+
+    /** Executes [batch]; of several operations on one row, all but the first wait for the next transaction. */
+    private suspend fun execute(batch: List<ClaimOperation>) {
+        var open = batch
+        while (open.isNotEmpty()) {
+            val now = open.distinctBy { it.key }
+            val settled = transact(now)
+            open = open.filter { it !in settled }
+        }
+    }
+
+    /** Executes one transaction and returns the operations that are settled by it: at least one. */
+    private suspend fun transact(operations: List<ClaimOperation>): Set<ClaimOperation> {
+        val writeId = newWriteId()
+        val command = StoreCommand.Transact(writeId, operations.map { it.condition }, operations.map { it.write })
+        return when (val answer = platform.execute(command)) {
+            is StoreAnswer.Committed -> {
+                val rows = answer.rows.associateBy { it.key }
+                operations.onEach { it.result.complete(ClaimResult.Written(rows[it.key])) }.toSet()
+            }
+            is StoreAnswer.Conflicted -> settleConflict(operations, answer.rows.associateBy { it.key })
+            is StoreAnswer.StoreFailed -> {
+                if (answer.failure is StoreFailure.AnswerLost) readBack(operations, writeId) else fail(operations)
+            }
+            else -> fail(operations)
+        }
+    }
+
+    private fun settleConflict(operations: List<ClaimOperation>, rows: Map<RowKey, Row>): Set<ClaimOperation> {
+        val refused = operations.filter { !it.condition.holds(rows[it.key]) }
+        if (refused.isEmpty()) return fail(operations)
+        return refused.onEach { it.result.complete(ClaimResult.Refused(rows[it.key])) }.toSet()
+    }
+
+    /**
+     * Finds out what became of a transaction whose answer was lost.
+     *
+     * A row with the write id shows that it took effect. Without one it may still take effect, so nothing runs on the
+     * strength of these claims and a claim that appears later is answered as pending.
+     */
+    private suspend fun readBack(operations: List<ClaimOperation>, writeId: WriteId): Set<ClaimOperation> {
+        val answer = platform.execute(StoreCommand.ReadRows(operations.map { it.key }))
+        val rows = (answer as? StoreAnswer.RowsRead)?.rows?.associateBy { it.key } ?: return fail(operations)
+        operations.forEach { operation ->
+            val row = rows[operation.key]
+            val result = when {
+                row?.writeId == writeId -> ClaimResult.Written(row)
+                row == null && operation.write is RowWrite.Delete -> ClaimResult.Written(null)
+                operation.condition.holds(row) -> ClaimResult.Failed
+                else -> ClaimResult.Refused(row)
+            }
+            operation.result.complete(result)
+        }
+        return operations.toSet()
+    }
+
+    private fun fail(operations: List<ClaimOperation>): Set<ClaimOperation> =
+        operations.onEach { it.result.complete(ClaimResult.Failed) }.toSet()
+}
+
+private fun RowCondition.holds(row: Row?): Boolean =
+    when (this) {
+        is RowCondition.Absent -> row == null
+        is RowCondition.RevisionIs -> row?.revision == revision
+    }
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/ConnectionLoop.kt
@@ -0,0 +1,94 @@
+package boragelever.node.proxy
+
+import boragelever.core.call.Outcome
+import boragelever.core.config.LimitsConfig
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+
+/** Methods that turn the connection into something else than HTTP. */
+private val REFUSED_METHODS = setOf("CONNECT")
+
+/** Serves the requests of one connection, one after the other. */
+internal class ConnectionLoop(
+    private val context: TrafficContext,
+    private val kind: HopKind,
+    private val socket: TrafficSocket,
+) {
+    private val input = SocketInput(socket)
+    private val settings = context.settings
+
+    /** Serves until the connection ends, is refused or has been idle for too long. */
+    suspend fun run() {
+        try {
+            var open = true
+            while (open) open = awaitRequest() && serveOne()
+        } catch (malformed: MalformedMessage) {
+            refuse(malformed)
+        } catch (ended: IOException) {
+            // The caller closed its connection between or inside requests; there is no one to answer.
+        } finally {
+            socket.close()
+        }
+    }
+
+    private suspend fun awaitRequest(): Boolean =
+        withTimeoutOrNull(settings.callerIdleMillis) { input.awaitByte() } ?: false
+
+    /** Carries one call; returns true if the connection can be used for another. */
+    private suspend fun serveOne(): Boolean {
+        val limits = context.snapshots.current()?.limits ?: LimitsConfig()
+        val head = received { readRequestHead(input, limits.maxHeaderBytes) }
+        if (head.method in REFUSED_METHODS) throw MalformedMessage(BAD_REQUEST, "the method is not served")
+        val framing = framingOf(head)
+        if (framing is BodyFraming.Sized && framing.bytes > limits.maxBodyBytes) {
+            throw MalformedMessage(TOO_LARGE, "the body exceeds the limit")
+        }
+        val reply = ReplyWriter(socket)
+        if (head.headers.hasToken("Expect", "100-continue")) reply.interim("HTTP/1.1 100 Continue\r\n\r\n")
+        val reader = BodyReader(input, framing, limits.maxBodyBytes)
+        val body = receiveBody(reader, framing, settings)
+        val inFlight = context.inFlight.getValue(kind)
+        inFlight.incrementAndGet()
+        try {
+            CallRunner(context, IncomingCall(kind, head, body, reader, reply, input)).run()
+        } finally {
+            inFlight.decrementAndGet()
+        }
+        return reply.whole && reader.complete && !head.headers.hasToken("Connection", "close") && !context.draining
+    }
+
+    private suspend fun <T : Any> received(read: suspend () -> T): T =
+        withTimeoutOrNull(settings.receiveTimeoutMillis) { read() }
+            ?: throw MalformedMessage(REQUEST_TIMEOUT, "the head of the request is late")
+
+    /** Nothing of a request that cannot be read has been sent on, so it did not run. */
+    private suspend fun refuse(malformed: MalformedMessage) {
+        val text = "${Outcome.NOT_RUN.text}: malformed: ${malformed.message}\n".encodeToByteArray()
+        val headers = listOf(
+            Header("Content-Type", "text/plain; charset=utf-8"),
+            Header("Content-Length", text.size.toString()),
+            Header("Connection", "close"),
+            Header(OUTCOME, Outcome.NOT_RUN.text),
+            Header(REASON, "malformed"),
+        )
+        val head = ResponseHead(malformed.statusCode, reasonPhrase(malformed.statusCode), Headers(headers))
+        try {
+            ReplyWriter(socket).sendWhole(head, text)
+            lingerForClose()
+        } catch (failure: IOException) {
+            socket.reset()
+        }
+    }
+
+    /** Reads what is still on its way, so that closing does not reset the connection before the answer is read. */
+    private suspend fun lingerForClose() {
+        val scrap = ByteArray(COPY_BUFFER_BYTES)
+        socket.endOutput()
+        withTimeoutOrNull(LINGER_MILLIS) {
+            while (input.awaitByte()) input.read(scrap, 0, scrap.size)
+        }
+    }
+}
+
+/** Time in which a caller that was refused early can read the refusal. */
+private const val LINGER_MILLIS = 500L
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/Exchange.kt
@@ -0,0 +1,172 @@
+package boragelever.node.proxy
+
+import boragelever.core.NetworkAddress
+import boragelever.core.call.AttemptFailure
+import boragelever.core.call.FailureKind
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+import java.net.ConnectException
+import java.nio.ByteBuffer
+
+/** Age of idleness up to which a connection is reused for a call that must not be repeated. */
+private const val SAFE_IDLE_MILLIS = 1_000L
+
+/** Limit for the head of an answer. */
+private const val MAX_ANSWER_HEAD_BYTES = 65_536
+
+/** A request to send. */
+internal class OutgoingRequest(val target: NetworkAddress, val head: RequestHead, val body: CallBody)
+
+/** An answer whose head has been read. */
+internal class Exchange(
+    private val pool: ConnectionPool,
+    private val connection: PooledConnection,
+    private val requestWriter: Job?,
+    val head: ResponseHead,
+    val framing: BodyFraming,
+) {
+    val body = BodyReader(connection.input, framing)
+
+    /** True if bytes of the body can be read without waiting. */
+    val hasBuffered: Boolean get() = connection.input.hasBuffered
+
+    /** Ends the exchange: the connection is reused only if nothing is left on it in either direction. */
+    fun end() {
+        val requestSent = requestWriter?.isCompleted ?: true
+        val clean = body.complete && requestSent && !connection.input.hasBuffered &&
+            !head.headers.hasToken("Connection", "close")
+        if (clean) pool.giveBack(connection) else abort()
+    }
+
+    /** Closes the connection, which the sender sees as a cancellation. */
+    fun abort() {
+        requestWriter?.cancel()
+        connection.socket.reset()
+    }
+
+    /** True if the sender accepts new connections, so that a broken body does not mean that it died. */
+    suspend fun senderAccepts(): Boolean = pool.accepts(connection.target)
+}
+
+/** Sends requests and reads the heads of their answers. */
+internal class ExchangeClient(private val pool: ConnectionPool, private val settings: ProxySettings) {
+    /**
+     * Sends [request] and waits at most [headTimeoutMillis] for the head of the answer.
+     *
+     * @param scope runs the sending of a streamed body, which may go on after the head of the answer.
+     * @param onDispatch called before the first byte is sent.
+     */
+    suspend fun send(
+        request: OutgoingRequest,
+        headTimeoutMillis: Long,
+        repeatable: Boolean,
+        scope: CoroutineScope,
+        onDispatch: () -> Unit,
+    ): Result<Exchange, AttemptFailure> {
+        val maxIdle = if (repeatable) settings.pooledIdleMillis else minOf(SAFE_IDLE_MILLIS, settings.pooledIdleMillis)
+        val connection = try {
+            pool.obtain(request.target, maxIdle)
+        } catch (refused: ConnectException) {
+            return Err(AttemptFailure(FailureKind.REFUSED, requestSent = false))
+        } catch (failure: IOException) {
+            return Err(AttemptFailure(FailureKind.CONNECT_TIMEOUT, requestSent = false))
+        }
+        val sentBefore = connection.socket.sentBytes
+        var exchange: Exchange? = null
+        val writer = RequestWriter(request, connection, scope)
+        try {
+            exchange = withTimeoutOrNull(headTimeoutMillis) {
+                onDispatch()
+                writer.start()
+                readAnswer(request, connection, writer)
+            }
+            return exchange?.let { Ok(it) } ?: silent(connection, sentBefore)
+        } catch (failure: IOException) {
+            val kind = writer.callerFailure ?: kindOf(failure, connection)
+            return Err(AttemptFailure(kind, connection.socket.sentBytes > sentBefore))
+        } finally {
+            if (exchange == null) {
+                writer.job?.cancel()
+                connection.socket.reset()
+            }
+        }
+    }
+
+    private suspend fun readAnswer(
+        request: OutgoingRequest,
+        connection: PooledConnection,
+        writer: RequestWriter,
+    ): Exchange {
+        val head = readResponseHead(connection.input, MAX_ANSWER_HEAD_BYTES)
+        return Exchange(pool, connection, writer.job, head, framingOf(head, request.head.method))
+    }
+
+    private fun silent(connection: PooledConnection, sentBefore: Long): Result<Exchange, AttemptFailure> {
+        // A connection that went silent is often not the only one to its target; the next attempt opens a new one.
+        pool.discard(connection.target)
+        return Err(AttemptFailure(FailureKind.SILENT, connection.socket.sentBytes > sentBefore))
+    }
+
+    private suspend fun kindOf(failure: IOException, connection: PooledConnection): FailureKind =
+        when {
+            failure is MalformedMessage -> FailureKind.MALFORMED
+            connection.reused && pool.accepts(connection.target) -> FailureKind.CLOSED_IDLE
+            else -> FailureKind.RESET
+        }
+}
+
+/** Sends one request: a held body at once, a streamed one beside the reading of the answer. */
+private class RequestWriter(
+    private val request: OutgoingRequest,
+    private val connection: PooledConnection,
+    private val scope: CoroutineScope,
+) {
+    var job: Job? = null
+        private set
+
+    /** Set if the body could not be read from the caller. */
+    @Volatile
+    var callerFailure: FailureKind? = null
+        private set
+
+    suspend fun start() {
+        val head = encodeHead(request.head)
+        when (val body = request.body) {
+            is CallBody.Held -> connection.socket.write(ByteBuffer.wrap(head + body.bytes))
+            is CallBody.Streamed -> {
+                connection.socket.write(ByteBuffer.wrap(head))
+                job = scope.launch { copy(body) }
+            }
+        }
+    }
+
+    private suspend fun copy(body: CallBody.Streamed) {
+        val writer = BodyWriter(connection.socket, body.framing)
+        val buffer = ByteArray(COPY_BUFFER_BYTES)
+        try {
+            while (true) {
+                val count = readFromCaller(body, buffer)
+                if (count < 0) break
+                writer.write(buffer, count)
+            }
+            writer.finish()
+        } catch (failure: IOException) {
+            // Closing the connection ends the wait for the answer; the receiver sees an incomplete request.
+            connection.socket.reset()
+        }
+    }
+
+    private suspend fun readFromCaller(body: CallBody.Streamed, buffer: ByteArray): Int =
+        try {
+            body.read(buffer)
+        } catch (failure: IOException) {
+            callerFailure = FailureKind.REQUEST_BROKEN
+            throw failure
+        }
+}
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/IncomingCall.kt
@@ -0,0 +1,51 @@
+package boragelever.node.proxy
+
+import boragelever.core.Fingerprint
+import boragelever.core.IdempotencyKey
+import boragelever.core.InstanceId
+import boragelever.core.call.CallRequest
+import boragelever.core.call.CallState
+import boragelever.core.call.HopRequest
+
+/** A request whose head has been read. */
+internal class IncomingCall(
+    val kind: HopKind,
+    val head: RequestHead,
+    val body: CallBody,
+    val bodyReader: BodyReader,
+    val reply: ReplyWriter,
+    val input: SocketInput,
+)
+
+/** State in which the call begins. */
+internal fun IncomingCall.initialState(): CallState =
+    when (kind) {
+        HopKind.CALLING -> CallState.Calling(callRequestOf(head, body))
+        HopKind.LAST -> CallState.LastHop(hopRequestOf(head))
+    }
+
+private fun callRequestOf(head: RequestHead, body: CallBody): CallRequest =
+    CallRequest(
+        method = head.method,
+        target = head.target,
+        host = head.headers["Host"]?.let { hostWithoutPort(it) },
+        key = head.headers[IDEMPOTENCY_KEY]?.let { IdempotencyKey(it) },
+        body = body.facts(),
+        // A caller that is itself an upstream hands on what its own call allows; it can only shorten its call.
+        attemptsLeft = head.headers[ATTEMPTS_LEFT]?.toIntOrNull(),
+        remainingMillis = head.headers[DEADLINE]?.toLongOrNull(),
+        hasRange = head.headers["Range"] != null,
+    )
+
+private fun hopRequestOf(head: RequestHead): HopRequest =
+    HopRequest(
+        instance = InstanceId(head.headers[INSTANCE].orEmpty()),
+        fingerprint = head.headers[FINGERPRINT]?.let { Fingerprint(it) },
+        attemptsLeft = head.headers[ATTEMPTS_LEFT]?.toIntOrNull() ?: 1,
+        remainingMillis = head.headers[DEADLINE]?.toLongOrNull(),
+    )
+
+private fun hostWithoutPort(host: String): String {
+    val end = host.lastIndexOf(':')
+    return if (end > host.lastIndexOf(']')) host.substring(0, end) else host
+}
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/SocketInput.kt
@@ -0,0 +1,92 @@
+package boragelever.node.proxy
+
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.nio.ByteBuffer
+
+private const val BUFFER_BYTES = 8_192
+private const val LINE_FEED = '\n'.code.toByte()
+private const val CARRIAGE_RETURN = '\r'.code.toByte()
+
+/** A message breaks the rules of HTTP/1.1 or a limit. [statusCode] is the answer if it is a request. */
+internal class MalformedMessage(val statusCode: Int, message: String) : IOException(message)
+
+/** The other side ended the connection inside a message. */
+internal class ConnectionEnded : IOException("the connection ended inside a message")
+
+/** Buffered reading from a socket; holds at most [BUFFER_BYTES] ahead of the reader. */
+internal class SocketInput(private val socket: TrafficSocket) {
+    private val buffer: ByteBuffer = ByteBuffer.allocate(BUFFER_BYTES).flip()
+
+    /** True if bytes are at hand without waiting. */
+    val hasBuffered: Boolean get() = buffer.hasRemaining()
+
+    /** Waits for a byte; false if the connection ended. */
+    suspend fun awaitByte(): Boolean {
+        if (buffer.hasRemaining()) return true
+        buffer.clear()
+        val count = try {
+            socket.read(buffer)
+        } finally {
+            buffer.flip()
+        }
+        return count > 0
+    }
+
+    /** Looks without waiting whether the connection is open and silent, as an unused connection must be. */
+    fun isSilent(): Boolean {
+        if (buffer.hasRemaining()) return false
+        buffer.clear()
+        return try {
+            socket.readNow(buffer) == 0
+        } catch (failure: IOException) {
+            false
+        } finally {
+            buffer.flip()
+        }
+    }
+
+    /** Reads at least one byte, at most [length]; throws [ConnectionEnded] if there is none. */
+    suspend fun read(target: ByteArray, offset: Int, length: Int): Int {
+        if (!awaitByte()) throw ConnectionEnded()
+        val count = minOf(length, buffer.remaining())
+        buffer.get(target, offset, count)
+        return count
+    }
+
+    /** Reads up to and including the empty line that ends the head of a message. */
+    suspend fun readHead(maxBytes: Int): ByteArray {
+        val head = ByteArrayOutputStream(512)
+        while (true) {
+            val lineBytes = readLine(head, maxBytes - head.size())
+            if (lineBytes == 0 && head.size() > 2) return head.toByteArray()
+            // One empty line before the first is allowed and left out.
+            if (lineBytes == 0) head.reset()
+        }
+    }
+
+    /** Reads one line of at most [maxBytes] as text without its end. */
+    suspend fun readLine(maxBytes: Int): String {
+        val line = ByteArrayOutputStream(32)
+        val length = readLine(line, maxBytes)
+        return String(line.toByteArray(), 0, length, Charsets.ISO_8859_1)
+    }
+
+    /** Appends a line with its end and returns its length without the end. */
+    private suspend fun readLine(sink: ByteArrayOutputStream, maxBytes: Int): Int {
+        var length = 0
+        var last: Byte = 0
+        while (true) {
+            if (!awaitByte()) throw ConnectionEnded()
+            val byte = buffer.get()
+            if (length >= maxBytes) throw MalformedMessage(HEADERS_TOO_LARGE, "the head exceeds the limit")
+            sink.write(byte.toInt())
+            length += 1
+            if (byte == LINE_FEED) {
+                if (last != CARRIAGE_RETURN) throw MalformedMessage(BAD_REQUEST, "a line ends without CR")
+                return length - 2
+            }
+            last = byte
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/TrafficClock.kt
@@ -0,0 +1,27 @@
+package boragelever.node.proxy
+
+import boragelever.core.Stamp
+import java.util.concurrent.ThreadLocalRandom
+
+/** Time and randomness for calls; replaced by fixed ones in tests. */
+internal interface TrafficClock {
+    /** Monotonic time in milliseconds. */
+    fun nowMillis(): Long
+
+    /** Wall-clock time in milliseconds since the epoch; only for records that people read. */
+    fun epochMillis(): Long
+
+    /** Stamp of an event that happens now. */
+    fun stamp(): Stamp
+}
+
+private const val NANOS_PER_MILLI = 1_000_000L
+
+/** The clock of the machine. */
+internal object SystemTrafficClock : TrafficClock {
+    override fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
+
+    override fun epochMillis(): Long = System.currentTimeMillis()
+
+    override fun stamp(): Stamp = Stamp(nowMillis(), ThreadLocalRandom.current().nextLong())
+}
--- /dev/null
+++ b/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
@@ -0,0 +1,265 @@
+package boragelever.node.proxy
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Digest
+import boragelever.core.Fingerprint
+import boragelever.core.InstanceId
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.RouteName
+import boragelever.core.ServiceName
+import boragelever.core.ZoneName
+import boragelever.core.config.ConfigId
+import boragelever.core.config.LimitsConfig
+import boragelever.core.config.RouteConfig
+import boragelever.core.config.ServiceConfig
+import boragelever.core.control.UpstreamRecord
+import boragelever.core.control.UpstreamState
+import boragelever.core.routing.CompiledRoute
+import boragelever.core.routing.CompiledService
+import boragelever.core.routing.Destination
+import boragelever.core.routing.Endpoint
+import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.RoutingSnapshot
+import boragelever.core.store.ByteBlock
+import boragelever.core.store.EntityTag
+import boragelever.core.store.ObjectKey
+import boragelever.core.store.Revision
+import boragelever.core.store.Row
+import boragelever.core.store.RowCondition
+import boragelever.core.store.RowKey
+import boragelever.core.store.RowWrite
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreCommand
+import boragelever.core.store.StoreFailure
+import boragelever.platform.Platform
+import kotlinx.coroutines.runBlocking
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketException
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+private val LOOPBACK: InetAddress = InetAddress.getLoopbackAddress()
+private const val READ_TIMEOUT_MILLIS = 10_000
+private const val POLL_MILLIS = 5
+
+/** An upstream on loopback that answers each connection's requests with the next scripted behaviour. */
+internal class FakeUpstream(vararg script: UpstreamStep) : AutoCloseable {
+    private val steps = ConcurrentLinkedQueue(script.toList())
+    private val listener = ServerSocket(0, 50, LOOPBACK)
+    private val open = CopyOnWriteArrayList<Socket>()
+
+    /** Heads and bodies of the requests as received. */
+    val requests = CopyOnWriteArrayList<String>()
+    val address = NetworkAddress("127.0.0.1:${listener.localPort}")
+
+    init {
+        thread(isDaemon = true) {
+            runCatching { while (true) listener.accept().let { socket -> thread(isDaemon = true) { serve(socket) } } }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        open += socket
+        runCatching {
+            while (true) {
+                requests += readMessage(socket) ?: break
+                when (
+                    val step =
+                        steps.poll() ?: UpstreamStep.Answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                ) {
+                    is UpstreamStep.Answer -> socket.getOutputStream().write(step.text.encodeToByteArray())
+                    is UpstreamStep.AnswerAndClose -> {
+                        socket.getOutputStream().write(step.text.encodeToByteArray())
+                        break
+                    }
+                    UpstreamStep.Crash -> {
+                        close()
+                        break
+                    }
+                    UpstreamStep.Hang -> Unit
+                }
+            }
+            socket.close()
+        }
+    }
+
+    override fun close() {
+        listener.close()
+        open.forEach { it.close() }
+    }
+}
+
+/** What a [FakeUpstream] does with one request. */
+internal sealed interface UpstreamStep {
+    data class Answer(val text: String) : UpstreamStep
+
+    data class AnswerAndClose(val text: String) : UpstreamStep
+
+    /** Ends all connections and the listener, as the death of the process does. */
+    data object Crash : UpstreamStep
+
+    data object Hang : UpstreamStep
+}
+
+/** Reads one message with a `Content-Length` body, or returns `null` if the connection ended before it. */
+internal fun readMessage(socket: Socket): String? {
+    socket.soTimeout = READ_TIMEOUT_MILLIS
+    val input = socket.getInputStream()
+    val text = StringBuilder()
+    while (!text.endsWith("\r\n\r\n")) {
+        val byte = input.read()
+        if (byte < 0) return null
+        text.append(byte.toChar())
+    }
+    val length = Regex("(?i)content-length: (\\d+)").find(text)?.groupValues?.get(1)?.toInt() ?: 0
+    return text.toString() + String(input.readNBytes(length), Charsets.ISO_8859_1)
+}
+
+/** Waits for [condition], which another thread brings about; fails after ten seconds. */
+internal fun awaitUntil(condition: () -> Boolean) {
+    val waits = READ_TIMEOUT_MILLIS / POLL_MILLIS
+    repeat(waits) { if (condition()) return else Thread.sleep(POLL_MILLIS.toLong()) }
+    error("the condition did not come about")
+}
+
+/** Sends [request] on a new connection and returns everything up to the end of the connection. */
+internal fun rawCall(port: Int, request: String): String =
+    Socket(LOOPBACK, port).use { socket ->
+        socket.soTimeout = READ_TIMEOUT_MILLIS
+        socket.getOutputStream().write(request.encodeToByteArray())
+        val answer = StringBuilder()
+        try {
+            while (true) answer.append(socket.getInputStream().read().takeIf { it >= 0 }?.toChar() ?: break)
+        } catch (reset: SocketException) {
+            answer.append("<reset>")
+        }
+        answer.toString()
+    }
+
+/** A platform that keeps rows and objects in memory; commands listed in [failures] fail instead. */
+internal class FakePlatform(private val failures: MutableList<PlatformFault> = mutableListOf()) : Platform {
+    private val rows = mutableMapOf<RowKey, Row>()
+    private val objects = mutableMapOf<ObjectKey, ByteBlock>()
+    private var revisions = 0L
+
+    /** Number of operations of each transaction. */
+    val transactions = mutableListOf<Int>()
+
+    @Synchronized
+    fun row(key: RowKey): Row? = rows[key]
+
+    @Synchronized
+    override fun close() = rows.clear()
+
+    override suspend fun execute(command: StoreCommand): StoreAnswer = answer(command)
+
+    @Synchronized
+    private fun answer(command: StoreCommand): StoreAnswer =
+        when (command) {
+            is StoreCommand.ReadRows -> StoreAnswer.RowsRead(command.keys.mapNotNull { rows[it] })
+            is StoreCommand.Transact -> transact(command)
+            is StoreCommand.PutObject -> {
+                objects[command.key] = command.bytes
+                StoreAnswer.ObjectWritten(EntityTag("t"))
+            }
+            is StoreCommand.GetObject ->
+                objects[command.key]?.let { StoreAnswer.ObjectRead(it, EntityTag("t")) } ?: StoreAnswer.ObjectMissing
+            else -> error("not used here: $command")
+        }
+
+    private fun transact(command: StoreCommand.Transact): StoreAnswer {
+        transactions += command.writes.size
+        val fault = failures.removeFirstOrNull() ?: PlatformFault.NONE
+        val lost = StoreAnswer.StoreFailed(StoreFailure.AnswerLost("lost"))
+        return when (fault) {
+            PlatformFault.UNAVAILABLE -> StoreAnswer.StoreFailed(StoreFailure.Unavailable("down"))
+            PlatformFault.LOST_BEFORE -> lost
+            PlatformFault.LOST_AFTER -> commit(command).let { lost }
+            PlatformFault.NONE -> commit(command)
+        }
+    }
+
+    private fun commit(command: StoreCommand.Transact): StoreAnswer {
+        val holds = command.conditions.all { condition ->
+            when (condition) {
+                is RowCondition.Absent -> condition.key !in rows
+                is RowCondition.RevisionIs -> rows[condition.key]?.revision == condition.revision
+            }
+        }
+        if (!holds) return StoreAnswer.Conflicted(command.conditions.mapNotNull { rows[it.key] })
+        command.writes.forEach { write ->
+            when (write) {
+                is RowWrite.Put -> rows[write.key] = Row(write.key, write.value, Revision(++revisions), command.writeId)
+                is RowWrite.Delete -> rows.remove(write.key)
+            }
+        }
+        return StoreAnswer.Committed(command.writes.mapNotNull { rows[it.key] })
+    }
+}
+
+internal enum class PlatformFault { NONE, UNAVAILABLE, LOST_BEFORE, LOST_AFTER }
+
+/** A calling node and the node beside each of [upstreams], on loopback. */
+internal class FakeMesh(
+    upstreams: List<FakeUpstream>,
+    route: RouteConfig = RouteConfig(pathPrefix = "/", destinations = mapOf(SERVICE to 1)),
+    limits: LimitsConfig = LimitsConfig(),
+    platform: Platform = FakePlatform(),
+    quarantined: Set<Fingerprint> = emptySet(),
+    settings: ProxySettings = ProxySettings(NodeId("a"), bindHost = "127.0.0.1"),
+    states: (Int) -> UpstreamState = { UpstreamState.SERVING },
+    telemetry: ProxyTelemetry = ProxyTelemetry.NONE,
+) : AutoCloseable {
+    val observations = CopyOnWriteArrayList<TrafficObservation>()
+    private val records = upstreams.mapIndexed { index, upstream ->
+        UpstreamRecord(SERVICE, InstanceId("i$index"), upstream.address, slots = 2, connections = 9, states(index))
+    }
+
+    @Volatile
+    private var snapshot: RoutingSnapshot? = null
+    private val server = ProxyServer(settings, { snapshot }, platform, observations::add, telemetry)
+    private val ports = runBlocking { server.start() }
+    val proxyPort get() = ports.proxy
+    val hopPort get() = ports.hop
+    val callsInFlight get() = server.callsInFlight
+
+    init {
+        val endpoints = records.mapIndexed { index, record -> endpoint(record, index) }
+        snapshot = RoutingSnapshot(
+            config = ConfigId(ConfigVersion(1), Digest("d")),
+            node = settings.node,
+            routes = listOf(CompiledRoute(RouteName("all"), route, listOf(Destination(SERVICE, 1)))),
+            services = mapOf(SERVICE to CompiledService(SERVICE, ServiceConfig(), endpoints)),
+            limits = limits,
+            localUpstreams = records.associateBy { it.instance },
+            quarantined = quarantined.associateWith { Long.MAX_VALUE },
+        )
+    }
+
+    /** The first upstream is nearer than the others, so that calls go to it first. */
+    private fun endpoint(record: UpstreamRecord, index: Int) =
+        Endpoint(
+            instance = record.instance,
+            service = record.service,
+            node = NodeId("a"),
+            callAddress = NetworkAddress("127.0.0.1:${ports.hop}"),
+            region = RegionName("r"),
+            zone = ZoneName("z$index"),
+            tier = if (index == 0) LocalityTier.SAME_ZONE else LocalityTier.SAME_REGION,
+            slots = record.slots,
+            servingSinceMillis = Long.MIN_VALUE / 2,
+        )
+
+    fun drain() = server.beginDrain()
+
+    override fun close() = runBlocking { server.close() }
+
+    companion object {
+        val SERVICE = ServiceName("fitbook")
+    }
+}
