--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -56,17 +56,10 @@
     settings: NodeSettings,
     platform: Platform,
     folder: ConfigFolder,
-    proxies: ProxyFactory,
-    clock: Clock = Clock.SYSTEM,
-): Node = Node(settings, NodeOutside(platform, folder, clock, proxies))
+): Node = Node(settings, NodeOutside(platform, folder, Clock.SYSTEM))
 
 /** What a node gets from outside. */
-internal class NodeOutside(
-    val platform: Platform,
-    val folder: ConfigFolder,
-    val clock: Clock,
-    val proxies: ProxyFactory,
-)
+internal class NodeOutside(val platform: Platform, val folder: ConfigFolder, val clock: Clock)
 
 /** A node as made by the function of the same name. */
 public class Node internal constructor(private val settings: NodeSettings, private val outside: NodeOutside) {
@@ -93,17 +86,7 @@
             dispatcher,
         )
     private val proxy: ProxyServer =
-        outside.proxies.create(
-            ProxyParts(
-                settings.proxySettings(),
-                snapshots::get,
-                ::observed,
-                store,
-                clock,
-                registry,
-                settings.otlpEndpoint,
-            ),
-        )
+        ProxyServer(settings.proxySettings(), snapshots::get, store, ::observed)
     private val admin = AdminServer(settings.adminHost, settings.adminPort, NodeAdminBackend())
     private val stopping = AtomicBoolean()
     private val closed = AtomicBoolean()
--- a/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
@@ -14,7 +14,6 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.cancel
-import io.ktor.utils.io.flushAndClose
 import io.ktor.utils.io.readFully
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeFully
--- a/node/src/test/kotlin/boragelever/node/NodeTest.kt
+++ b/node/src/test/kotlin/boragelever/node/NodeTest.kt
@@ -4,8 +4,6 @@
 import boragelever.core.NodeId
 import boragelever.core.RegionName
 import boragelever.core.ZoneName
-import boragelever.node.proxy.ProxyPorts
-import boragelever.node.proxy.ProxyServer
 import boragelever.platform.ConfigFolder
 import boragelever.standin.MemoryPlatform
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -24,7 +22,7 @@
     fun `two nodes apply each change of the folder and stop`() {
         val platform = MemoryPlatform()
         val nodes = listOf("a", "b").map { name ->
-            Node(settings(name), platform, ConfigFolder.LocalDirectory(folder), { StillProxy }).apply { start() }
+            Node(settings(name), platform, ConfigFolder.LocalDirectory(folder)).apply { start() }
         }
         try {
             folder.resolve("10.yaml").writeText("services:\n  fitbook: {}\n")
@@ -52,16 +50,6 @@
         }
     }
 
-    private object StillProxy : ProxyServer {
-        override val callsInFlight: Int = 0
-
-        override suspend fun start() = ProxyPorts(1, 2)
-
-        override fun beginDrain() = Unit
-
-        override suspend fun close() = Unit
-    }
-
     private companion object {
         const val WAIT_MILLIS = 20_000L
     }
