Locate duplicate keys by code point and never fail on a missing place

The parser counts columns in code points, so a duplicate key behind a character outside the basic plane was marked one place too early. A location that the text does not have now ends the file with the error itself. The round trip also covers texts that look like null.

--- a/yaml/src/main/kotlin/boragelever/yaml/YamlParser.kt
+++ b/yaml/src/main/kotlin/boragelever/yaml/YamlParser.kt
@@ -12,6 +12,7 @@
 import com.charleskorn.kaml.DuplicateKeyException
 import com.charleskorn.kaml.EmptyYamlDocumentException
 import com.charleskorn.kaml.ForbiddenAnchorOrAliasException
+import com.charleskorn.kaml.Location
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlException
 import com.charleskorn.kaml.YamlList
@@ -80,10 +81,9 @@
     } catch (_: EmptyYamlDocumentException) {
         ParseAttempt.Parsed(YamlNull(YamlPath.root))
     } catch (e: DuplicateKeyException) {
-        ParseAttempt.Duplicate(
-            ConfigError.DuplicateKey(e.location(name)),
-            text.withMarkedKey(e, DUPLICATE_MARK.repeat(pass)),
-        )
+        val error = ConfigError.DuplicateKey(e.location(name))
+        val marked = text.withMark(e.duplicateLocation, DUPLICATE_MARK.repeat(pass))
+        if (marked == null) ParseAttempt.Failed(error) else ParseAttempt.Duplicate(error, marked)
     } catch (e: YamlException) {
         ParseAttempt.Failed(e.toConfigError(name))
     } catch (_: StackOverflowError) {
@@ -118,13 +118,18 @@
     )
 }
 
-/** Makes the duplicate key unique with [mark]; [YamlConversion] drops the marked key. */
-private fun String.withMarkedKey(e: DuplicateKeyException, mark: String): String {
+/**
+ * Makes the key at [location] unique with [mark]; [YamlConversion] drops the marked key. The location counts code
+ * points. Returns `null` if the text has no such place.
+ */
+private fun String.withMark(location: Location, mark: String): String? {
     val lines = lines().toMutableList()
-    val line = lines[e.duplicateLocation.line - 1]
-    val start = e.duplicateLocation.column - 1
-    val insertAt = if (line.getOrNull(start) in QUOTES) start + 1 else start
-    lines[e.duplicateLocation.line - 1] = line.replaceRange(insertAt, insertAt, mark)
+    val line = lines.getOrNull(location.line - 1).orEmpty()
+    val codePointsBefore = location.column - 1
+    if (codePointsBefore >= line.codePointCount(0, line.length)) return null
+    val start = line.offsetByCodePoints(0, codePointsBefore)
+    val insertAt = if (line[start] in QUOTES) start + 1 else start
+    lines[location.line - 1] = line.replaceRange(insertAt, insertAt, mark)
     return lines.joinToString("\n")
 }
 
--- a/yaml/src/test/kotlin/boragelever/yaml/ConfigDocumentsTest.kt
+++ b/yaml/src/test/kotlin/boragelever/yaml/ConfigDocumentsTest.kt
@@ -130,7 +130,7 @@
                   keep_outcome_ms: 86400016
                   max_kept_body_bytes: 17
             limits: {max_header_bytes: 1024, max_body_bytes: 18, max_connections: 19, max_concurrent_calls: 20}
-            quarantine: {deaths: 21, duration_ms: 22, lifted: ["1234", "0x:#,y"]}
+            quarantine: {deaths: 21, duration_ms: 22, lifted: ["1234", "0x:#,y", "null", "~"]}
             dissemination: {profile: poll, batch_window_ms: 23, relays_per_region: 4}
         """
 
@@ -162,10 +162,12 @@
                 ),
             ),
             limits = LimitsConfig(1024, maxBodyBytes = 18, maxConnections = 19, maxConcurrentCalls = 20),
-            quarantine = QuarantineConfig(21, durationMillis = 22, setOf(Fingerprint("1234"), Fingerprint("0x:#,y"))),
+            quarantine = QuarantineConfig(21, durationMillis = 22, fingerprints("1234", "0x:#,y", "null", "~")),
             dissemination = DisseminationConfig(DisseminationProfile.POLL, batchWindowMillis = 23, relaysPerRegion = 4),
         )
 
+        fun fingerprints(vararg values: String): Set<Fingerprint> = values.map(::Fingerprint).toSet()
+
         @JvmStatic
         fun validFolders(): List<List<FolderFile>> =
             listOf(folder(), folder(EVERY_KEY), exampleFolder("kalahari"), exampleFolder("lindqvist"))
