Test failures of nodes, zones and links over a fake network

Watchers wait longer after repeated refutations, so that one broken link does not keep a healthy member flapping. A relay that is cut off from a region reads the head for its own region.

--- a/core/src/main/kotlin/boragelever/core/control/AntiEntropy.kt
+++ b/core/src/main/kotlin/boragelever/core/control/AntiEntropy.kt
@@ -96,11 +96,14 @@
     }
 }
 
+/** True if this node is a relay that gets no answer from another region, where the publisher may be. */
+internal val ControlState.isCutOffRelay: Boolean get() = members.own?.unreachableRegions.orEmpty().isNotEmpty()
+
 private fun ControlState.needsHead(nowMillis: Long): Boolean {
     val contactMillis = members.lastContactMillis ?: dissemination.startedMillis
     val isIsolated = nowMillis - contactMillis >= ISOLATED_AFTER_MILLIS
     val isEmpty = applied == null && nowMillis - dissemination.startedMillis >= ISOLATED_AFTER_MILLIS
-    return isIsolated || isEmpty
+    return isIsolated || isEmpty || isCutOffRelay
 }
 
 private fun ControlState.scheduleHeadRead(nextMillis: Long?): ControlState =
--- a/core/src/main/kotlin/boragelever/core/control/DiscoveryReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/DiscoveryReducer.kt
@@ -25,6 +25,7 @@
         is Event.Ticked -> upstreams.withoutExpired(nowMillis, state.pausedMillis != null)
         else -> upstreams
     }
+    if (next === upstreams && event !is Event.StopRequested) return state.unchanged()
     return state.copy(discovery = DiscoveryState(next)).publishUpstreams(nowMillis)
 }
 
--- a/core/src/main/kotlin/boragelever/core/control/DisseminationReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/DisseminationReducer.kt
@@ -138,7 +138,8 @@
  * Forwards a newly applied configuration to the parts of the tree that this node is responsible for.
  *
  * A node that got it neither from a peer nor by its own read of the store has published it and starts the broadcast. So
- * does the holder of the lease with what it read, since the holder before it may have died before it pushed.
+ * does the holder of the lease with what it read, since the holder before it may have died before it pushed. A relay
+ * that is cut off from other regions serves its region with what it read.
  */
 private fun ControlState.startSpreading(nowMillis: Long): Transition {
     val config = applied ?: return unchanged()
@@ -149,8 +150,9 @@
         config.id.version in spread.waiting -> spread.waiting.filterKeys {
             it <= config.id.version
         }.values.flatten().toSet()
-        config.id.digest == spread.readDigest && lease !is LeaseState.Held -> emptySet()
-        else -> setOf(TreePart(TreeScope.ALL))
+        config.id.digest != spread.readDigest || lease is LeaseState.Held -> setOf(TreePart(TreeScope.ALL))
+        isCutOffRelay -> setOf(TreePart(TreeScope.REGION))
+        else -> emptySet()
     }
     val done = spread.waiting.keys.filter { it <= config.id.version }
     val history = (listOf(HeldDocument(config.id, config.document)) + spread.history).take(MAX_HISTORY)
--- a/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
+++ b/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
@@ -17,9 +17,12 @@
 /** Mean wait between two contacts with dead members. */
 private const val DEAD_CONTACT_MILLIS = 10_000L
 
-/** Largest exponent of the silence needed after repeated refutations. */
+/** Largest number of times that repeated refutations double the silence needed. */
 private const val MAX_DOUBLINGS = 4
 
+/** Time after which a refutation no longer counts; above the longest silence that refutations can lead to. */
+private const val REFUTATION_MEMORY_MILLIS = 60_000L
+
 /** Sends heartbeats that are due and judges the peers that stay silent. */
 internal fun ControlState.tickDetector(stamp: Stamp): Transition =
     checkWatches(stamp.nowMillis)
@@ -60,7 +63,7 @@
 
 private fun ControlState.checkWatches(nowMillis: Long): Transition {
     val silent = members.detector.watches.filter { (node, watch) ->
-        nowMillis - watch.heardMillis >= watch.patienceMillis() && isOwnRegion(node) && isAlive(node)
+        nowMillis - watch.heardMillis >= watch.patienceMillis(nowMillis) && isOwnRegion(node) && isAlive(node)
     }
     return forEach(silent.keys) { state, node ->
         val suspicion = Suspicion(nowMillis, raisedHere = true)
@@ -70,7 +73,16 @@
     }
 }
 
-private fun Watch.patienceMillis(): Long = SUSPECT_AFTER_MILLIS shl minOf(refutations, MAX_DOUBLINGS)
+/**
+ * Silence after which the peer is suspect. The second refutation in a row and each further one doubles it: the link
+ * between the two nodes is then broken, and not the peer.
+ */
+private fun Watch.patienceMillis(nowMillis: Long): Long =
+    SUSPECT_AFTER_MILLIS shl (recentRefutations(nowMillis) - 1).coerceIn(0, MAX_DOUBLINGS)
+
+/** Number of refutations in a row, or zero if the last one is long ago. */
+internal fun Watch.recentRefutations(nowMillis: Long): Int =
+    if (refutedMillis != null && nowMillis - refutedMillis < REFUTATION_MEMORY_MILLIS) refutations else 0
 
 private fun ControlState.isOwnRegion(node: NodeId): Boolean = members.table[node]?.record?.region == identity.region
 
--- a/core/src/main/kotlin/boragelever/core/control/MemberExchange.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberExchange.kt
@@ -116,6 +116,8 @@
     nowMillis: Long,
 ): Transition {
     val before = members
+    // A single record about this node tells that it counts as suspect or dead and is not the answer to a summary.
+    val isTable = records.singleOrNull()?.record?.node != identity.node
     val isRemote = before.table[from]?.record?.region != identity.region
     val doubted = records.map { if (it.record.region == identity.region) it.doubted(before.table) else it }
     val merged = mergeRecords(doubted, nowMillis)
@@ -125,7 +127,7 @@
             (news.status == MemberStatus.SUSPECT && known.record == news.record)
     }
     return merged.transition
-        .andThen { it.updateMembers { copy(join = join.copy(joined = true, rounds = 0)) }.unchanged() }
+        .andThenIf(isTable) { it.updateJoin { copy(joined = true, rounds = 0) }.unchanged() }
         .andThenIf(before.join.joined) { it.broadcast(spread, TreePart(TreeScope.REGION), nowMillis) }
 }
 
--- a/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.Incarnation
 import boragelever.core.NodeId
+import kotlinx.collections.immutable.PersistentMap
 
 /** Changes what this node tells of itself and broadcasts it under the next sequence number. */
 internal fun ControlState.publishOwn(
@@ -85,8 +86,11 @@
     }
 }
 
-private fun kotlinx.collections.immutable.PersistentMap<NodeId, Watch>.refuted(node: NodeId, nowMillis: Long) =
-    this[node]?.let { put(node, it.copy(heardMillis = nowMillis, refutations = it.refutations + 1)) } ?: this
+private fun PersistentMap<NodeId, Watch>.refuted(node: NodeId, nowMillis: Long): PersistentMap<NodeId, Watch> {
+    val watch = this[node] ?: return this
+    val count = watch.recentRefutations(nowMillis) + 1
+    return put(node, watch.copy(heardMillis = nowMillis, refutations = count, refutedMillis = nowMillis))
+}
 
 /** Sets the status that this node itself found for [node] and broadcasts it if [announce] is set. */
 internal fun ControlState.judge(node: NodeId, status: MemberStatus, nowMillis: Long, announce: Boolean): Transition {
--- a/core/src/main/kotlin/boragelever/core/control/MembershipState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MembershipState.kt
@@ -73,8 +73,10 @@
     public val sent: Long = 0,
     /** Number of the last heartbeat answered. */
     public val answered: Long = 0,
-    /** Number of suspicions in a row that the peer refuted; each doubles the silence needed for the next one. */
+    /** Number of suspicions that the peer refuted shortly after each other. */
     public val refutations: Int = 0,
+    /** Time of the last refutation, or `null`. */
+    public val refutedMillis: Long? = null,
 )
 
 /** A suspect member. */
--- a/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
+++ b/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
@@ -48,7 +48,6 @@
     /** Tells if a link between two nodes is cut. Cut links lose messages silently. */
     var isCut: (FakeNode, FakeNode) -> Boolean = { _, _ -> false }
     var observer: (FakeNode, Event, Transition) -> Unit = { _, _, _ -> }
-    var sent: Long = 0
     val nodes: List<FakeNode> = size.identities().map { FakeNode(it) }
     private val byAddress = nodes.associateBy { it.identity.peerAddress }
     private val documents = mutableMapOf<ConfigVersion, Digest>()
@@ -131,6 +130,16 @@
         apply(node, null, node.state.offerConfig(id, document))
     }
 
+    /** Offers what the store's head names to [node], as a publisher does with what its predecessor left unpushed. */
+    fun takeOver(node: FakeNode) {
+        val head = store.rows["config/head"]?.value as? RowValue.Head ?: return
+        apply(
+            node,
+            null,
+            node.state.offerConfig(ConfigId(head.version, head.digest), store.documents.getValue(head.document)),
+        )
+    }
+
     private fun apply(node: FakeNode, event: Event?, transition: Transition) {
         node.check(transition.state)
         node.state = transition.state
@@ -165,7 +174,6 @@
 
     private fun transmit(from: FakeNode, address: NetworkAddress, message: PeerMessage?) {
         val to = byAddress.getValue(address)
-        sent++
         if (isCut(from, to) || random.nextDouble() < faults.loss) return
         val copies = if (random.nextDouble() < faults.duplication) 2 else 1
         repeat(copies) {
@@ -217,6 +225,15 @@
         feed(node) { Event.UpstreamAnnounced(it, upstream, ttlMillis = 3_600_000) }
     }
 
+    /** Cuts all links between the nodes that are on [side] and the others. */
+    fun cutOff(side: (FakeNode) -> Boolean) {
+        isCut = { a, b -> side(a) != side(b) }
+    }
+
+    fun heal() {
+        isCut = { _, _ -> false }
+    }
+
     fun live(): List<FakeNode> = nodes.filter { it.isUp && !it.isPaused }
 
     /** True if every live node has applied [version] and knows exactly the live nodes as alive. */
--- a/core/src/test/kotlin/boragelever/core/control/FakeStore.kt
+++ b/core/src/test/kotlin/boragelever/core/control/FakeStore.kt
@@ -33,11 +33,7 @@
         if (!isUp) return StoreAnswer.StoreFailed(StoreFailure.Unavailable("the store is down"))
         reads++
         return when (command) {
-            is StoreCommand.ScanRows -> StoreAnswer.RowsRead(
-                rows.values.filter {
-                    it.key.value.startsWith(command.prefix)
-                },
-            )
+            is StoreCommand.ScanRows -> StoreAnswer.RowsRead(scan(command))
             is StoreCommand.ReadRows -> StoreAnswer.RowsRead(command.keys.mapNotNull { rows[it.value] })
             is StoreCommand.GetDocument ->
                 documents[command.key]?.let { StoreAnswer.DocumentRead(it) } ?: StoreAnswer.ObjectMissing
@@ -46,6 +42,11 @@
         }
     }
 
+    private fun scan(command: StoreCommand.ScanRows): List<Row> =
+        rows.values
+            .filter { it.key.value.startsWith(command.prefix) && it.key.value > command.after?.value.orEmpty() }
+            .take(command.limit)
+
     private fun transact(command: StoreCommand.Transact): StoreAnswer {
         val holds = command.conditions.all { condition ->
             when (condition) {
