--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/call/CallScript.kt
@@ -0,0 +1,161 @@
+package boragelever.core.call
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Digest
+import boragelever.core.Fingerprint
+import boragelever.core.IdempotencyKey
+import boragelever.core.InstanceId
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.RouteName
+import boragelever.core.ServiceName
+import boragelever.core.Stamp
+import boragelever.core.ZoneName
+import boragelever.core.config.ConfigId
+import boragelever.core.config.LimitsConfig
+import boragelever.core.config.RetryConfig
+import boragelever.core.config.RouteConfig
+import boragelever.core.config.ServiceConfig
+import boragelever.core.control.UpstreamRecord
+import boragelever.core.control.UpstreamState
+import boragelever.core.routing.CompiledRoute
+import boragelever.core.routing.CompiledService
+import boragelever.core.routing.Destination
+import boragelever.core.routing.Endpoint
+import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.RoutingSnapshot
+import boragelever.core.store.RecordedAnswer
+
+/** Calls, named events and a short form of effects for tables of cases. */
+internal object CallScript {
+    val SERVICE = ServiceName("fitbook")
+    val ROUTE = RouteConfig(pathPrefix = "/", destinations = mapOf(SERVICE to 1), timeoutMillis = 1_000)
+    val NOW = Stamp(0, 1)
+    val LATE = Stamp(1_000, 1)
+    val A = endpoint("a")
+    val B = endpoint("b")
+    val UPSTREAM =
+        UpstreamRecord(SERVICE, A.instance, NetworkAddress("127.0.0.1:1"), 9, 130, UpstreamState.SERVING)
+    val SNAPSHOT = snapshot(ROUTE)
+    val GET = CallState.Calling(CallRequest("GET", "/scan"))
+    val SPENT = CallState.Calling(CallRequest("GET", "/scan", attemptsLeft = 0))
+    val EXPIRED = CallState.Calling(CallRequest("GET", "/scan", remainingMillis = 0))
+    val POST = CallState.Calling(CallRequest("POST", "/book"))
+    val KEYED = CallState.Calling(CallRequest("POST", "/book", key = IdempotencyKey("k")))
+    val UPLOAD = CallState.Calling(CallRequest("PUT", "/scan", body = RequestBody.Streamed(null)))
+    val HOP = CallState.LastHop(HopRequest(A.instance, Fingerprint("f"), remainingMillis = 500))
+
+    fun endpoint(name: String) =
+        Endpoint(
+            instance = InstanceId(name),
+            service = SERVICE,
+            node = NodeId(name),
+            callAddress = NetworkAddress("127.0.0.1:2"),
+            region = RegionName("r"),
+            zone = ZoneName("z"),
+            tier = LocalityTier.SAME_ZONE,
+            slots = 9,
+            servingSinceMillis = 0,
+        )
+
+    fun snapshot(route: RouteConfig) =
+        RoutingSnapshot(
+            config = ConfigId(ConfigVersion(1), Digest("d")),
+            node = NodeId("n"),
+            routes = listOf(CompiledRoute(RouteName("all"), route, listOf(Destination(SERVICE, 1)))),
+            services = mapOf(SERVICE to CompiledService(SERVICE, ServiceConfig(), listOf(A, B))),
+            limits = LimitsConfig(maxConcurrentCalls = 10),
+            localUpstreams = mapOf(A.instance to UPSTREAM),
+        )
+
+    fun arrived(snapshot: RoutingSnapshot?, inFlight: Int = 1) = CallEvent.Arrived(NOW, snapshot, inFlight)
+
+    fun attempts(count: Int) = arrived(snapshot(ROUTE.copy(retry = RetryConfig(maxAttempts = count))))
+
+    fun failed(attempt: Int, sent: Boolean, kind: FailureKind = FailureKind.RESET) =
+        CallEvent.AttemptFailed(NOW, attempt, AttemptFailure(kind, sent))
+
+    fun answered(attempt: Int) = CallEvent.AnswerStarted(
+        NOW,
+        attempt,
+        AnswerHead(200, Outcome.COMPLETED, null, "v", 9),
+    )
+
+    fun refused(attempt: Int, reason: RefusalReason) =
+        CallEvent.AnswerStarted(NOW, attempt, AnswerHead(503, Outcome.NOT_RUN, reason))
+
+    fun rest(first: Long = 4, total: Long = 9, tag: String = "v"): CallEvent {
+        val range = AnswerRange(first, total - 1, total)
+        return CallEvent.AnswerStarted(NOW, 2, AnswerHead(206, Outcome.COMPLETED, null, tag, total - first, range))
+    }
+
+    fun broke(failure: BodyFailure) = CallEvent.BodyBroke(NOW, 1, sentBytes = 4, failure)
+
+    fun claimed(answer: ClaimAnswer) = CallEvent.ClaimAnswered(NOW, answer)
+
+    val EVENTS: Map<String, CallEvent> = mapOf(
+        "arrived" to arrived(SNAPSHOT),
+        "arrived-unconfigured" to arrived(null),
+        "arrived-stopping" to arrived(SNAPSHOT.copy(draining = true)),
+        "arrived-crowded" to arrived(SNAPSHOT, inFlight = 11),
+        "arrived-unmatched" to arrived(snapshot(ROUTE.copy(pathPrefix = "/sc"))),
+        "arrived-once" to attempts(1),
+        "arrived-twice" to attempts(2),
+        "arrived-hedged" to arrived(snapshot(ROUTE.copy(retry = RetryConfig(hedgeAfterMillis = 5)))),
+        "arrived-moved" to arrived(SNAPSHOT.copy(localUpstreams = emptyMap())),
+        "arrived-draining" to arrived(
+            SNAPSHOT.copy(localUpstreams = mapOf(A.instance to UPSTREAM.copy(state = UpstreamState.DRAINING))),
+        ),
+        "arrived-poison" to arrived(SNAPSHOT.copy(quarantined = mapOf(Fingerprint("f") to 1L))),
+        "a" to CallEvent.EndpointSelected(NOW, A),
+        "b" to CallEvent.EndpointSelected(NOW, B),
+        "none" to CallEvent.SelectionFailed(NOW, RefusalReason.NO_ENDPOINT),
+        "no-budget" to CallEvent.SelectionFailed(NOW, RefusalReason.BUDGET_SPENT),
+        "reset" to failed(1, sent = true),
+        "closed-idle" to failed(1, sent = true, FailureKind.CLOSED_IDLE),
+        "unconnected" to failed(1, sent = false, FailureKind.REFUSED),
+        "answer" to answered(1),
+        "answer2" to answered(2),
+        "shed" to refused(1, RefusalReason.SHED),
+        "shed2" to refused(2, RefusalReason.SHED),
+        "not-serving" to refused(1, RefusalReason.NOT_SERVING),
+        "poison" to refused(1, RefusalReason.QUARANTINED),
+        "rest" to rest(),
+        "rest-other-tag" to rest(tag = "w"),
+        "rest-other-part" to rest(first = 3),
+        "rest-longer" to rest(total = 10),
+        "ended" to CallEvent.BodyEnded(NOW, 1),
+        "stalled" to broke(BodyFailure.STALLED),
+        "cut" to broke(BodyFailure.RESET),
+        "unread" to broke(BodyFailure.RECEIVER_GONE),
+        "hedge" to CallEvent.HedgeDue(NOW),
+        "gone" to CallEvent.CallerGone(NOW),
+        "late" to CallEvent.DeadlinePassed(LATE),
+        "won" to claimed(ClaimAnswer.Won),
+        "recorded" to claimed(ClaimAnswer.Recorded(RecordedAnswer(201))),
+        "pending" to claimed(ClaimAnswer.Pending),
+        "other" to claimed(ClaimAnswer.OtherRequest),
+        "store-failed" to claimed(ClaimAnswer.Failed),
+        "slot" to CallEvent.SlotGranted(NOW),
+        "late-slot" to CallEvent.SlotGranted(LATE),
+        "no-slot" to CallEvent.SlotDenied(NOW),
+    )
+
+    fun brief(effect: CallEffect): String =
+        when (effect) {
+            is CallEffect.Select ->
+                "select" + effect.excluded.joinToString("") { " -$it" } + if (effect.spendsBudget) " paid" else ""
+            is CallEffect.StartAttempt -> {
+                val target = (effect.target as? AttemptTarget.NextNode)?.endpoint?.instance ?: "upstream"
+                "send $target left ${effect.attemptsLeft}" + effect.resume?.let { " from ${it.fromByte}" }.orEmpty()
+            }
+            is CallEffect.CancelAttempt -> "cancel ${effect.attempt}"
+            is CallEffect.PassAnswer -> "pass ${effect.attempt}"
+            is CallEffect.PassRest -> "rest ${effect.attempt}"
+            is CallEffect.Refuse -> effect.refusal.let { "${it.statusCode} ${it.outcome.text} ${it.reason.text}" }
+            is CallEffect.ReportDeath -> "died ${effect.instance}"
+            is CallEffect.Replay -> "replay ${effect.answer.statusCode}"
+            else -> checkNotNull(effect::class.simpleName)
+        }
+}
