--- a/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
@@ -30,7 +30,7 @@
     /** An answer was due and nothing arrived. */
     data object Silent : CloseReason
 
-    /** Another connection to the same peer took its place. */
+    /** Another connection to the same peer took its place, and the peer did not end this one in time. */
     data object Replaced : CloseReason
 
     /** The control state asked for it, or the node stops. */
@@ -60,6 +60,11 @@
         output.flush()
     }
 
+    /** Ends the connection in the direction to the peer; the peer reads what was written before. */
+    suspend fun endOutput() {
+        output.flushAndClose()
+    }
+
     /** Ends the connection in both directions. */
     fun close() {
         input.cancel()
@@ -88,6 +93,9 @@
     var awaitingSinceMillis: Long? = null
         private set
 
+    /** Completed once another connection has taken the place of this one. */
+    val retired = Job()
+
     @Volatile
     private var job: Job? = null
 
@@ -102,6 +110,11 @@
         if (closeReason != null) reader.cancel()
     }
 
+    /** Stops sending messages; those that are on their way in both directions still arrive. */
+    fun retire() {
+        retired.complete()
+    }
+
     /** Ends the connection. Any thread may call it; the first reason counts. */
     fun close(reason: CloseReason) {
         if (closeReason == null) closeReason = reason
@@ -128,8 +141,11 @@
 /** Tells whether a live receiver always answers the message. */
 private fun PeerMessage.expectsAnswer(): Boolean =
     when (this) {
-        is PeerMessage.Heartbeat, is PeerMessage.ConfigPush, is PeerMessage.MemberUpdate -> true
+        is PeerMessage.Heartbeat, is PeerMessage.ConfigPush, is PeerMessage.QuarantineUpdate -> true
+
+        is PeerMessage.MemberUpdate -> !isAnswer
+
         is PeerMessage.HeartbeatAck, is PeerMessage.ConfigAck, is PeerMessage.ConfigPull, is PeerMessage.MemberAck,
-        is PeerMessage.MemberSummary, is PeerMessage.MemberPull, is PeerMessage.QuarantineUpdate,
+        is PeerMessage.MemberSummary, is PeerMessage.MemberPull,
         -> false
     }
