Run the thin path: folder to route, upstream and answer, and the command line

One test drives two nodes over real ports against the platform stand-in: a file in the folder brings a route into force on both, a registered upstream is reached through either with the caller's trace, and removing the file takes the route away.

--- a/app/src/main/kotlin/boragelever/app/Arguments.kt
+++ b/app/src/main/kotlin/boragelever/app/Arguments.kt
@@ -81,17 +81,17 @@
     }
 
 private fun BindingScope<UsageError>.flaggedCommand(flags: Flags, seed: Long): Command =
-        when (flags) {
-            is NodeFlags -> nodeCommand(flags, seed)
-            is CheckFlags -> checkCommand(flags)
-            is DiffFlags -> diffCommand(flags)
-            is StatusFlags -> Command.ShowStatus(Values.address("--admin", flags.admin).bind(), output(flags))
-            is DevFlags -> Command.RunDev(folder(flags.folder), duration(flags), logging(flags))
-            is PlatformFlags ->
-                Command.RunPlatform(Values.address("--listen", flags.listen).bind(), duration(flags), logging(flags))
-            is UpstreamFlags -> upstreamCommand(flags)
-            else -> Command.ShowVersion
-        }
+    when (flags) {
+        is NodeFlags -> nodeCommand(flags, seed)
+        is CheckFlags -> checkCommand(flags)
+        is DiffFlags -> diffCommand(flags)
+        is StatusFlags -> Command.ShowStatus(Values.address("--admin", flags.admin).bind(), output(flags))
+        is DevFlags -> Command.RunDev(folder(flags.folder), duration(flags), logging(flags))
+        is PlatformFlags ->
+            Command.RunPlatform(Values.address("--listen", flags.listen).bind(), duration(flags), logging(flags))
+        is UpstreamFlags -> upstreamCommand(flags)
+        else -> Command.ShowVersion
+    }
 
 private fun BindingScope<UsageError>.nodeCommand(flags: NodeFlags, seed: Long): Command {
     val host = Values.host("--host", flags.host).bind()
--- /dev/null
+++ b/app/src/main/kotlin/boragelever/app/DevCommand.kt
@@ -0,0 +1,50 @@
+package boragelever.app
+
+private const val POLL_MILLIS = 20L
+
+/** Runs a whole mesh in this process and prints each version that is in force on all nodes. */
+internal fun runDev(command: Command.RunDev, print: (String) -> Unit): CommandOutcome {
+    configureLogging(command.logging)
+    return opening {
+        val mesh = DevMesh(command.folder)
+        Termination.onSignal(mesh::close)
+        mesh.use {
+            it.start()
+            print(describe(it))
+            report(it, command, print)
+        }
+        done("")
+    }
+}
+
+private fun report(mesh: DevMesh, command: Command.RunDev, print: (String) -> Unit) {
+    val end = command.forSeconds?.let { System.nanoTime() + it * NANOS_PER_SECOND }
+    var rejected = emptyList<String>()
+    while (end == null || System.nanoTime() < end) {
+        mesh.newVersionInForce()?.let { version ->
+            print(describe(version))
+            mesh.callLines().forEach(print)
+        }
+        val errors = mesh.folderErrors()
+        if (errors != rejected) errors.forEach { print("rejected: $it") }
+        rejected = errors
+        Thread.sleep(POLL_MILLIS)
+    }
+}
+
+private fun describe(mesh: DevMesh): String {
+    val nodes =
+        mesh.nodes.map {
+            "node ${it.settings.node} in ${it.settings.region}/${it.settings.zone}: " +
+                "callers ${it.node.addresses.proxy}, admin ${it.node.addresses.admin}"
+        }
+    return (listOf("platform ${mesh.platformAddress}, folder ${mesh.folder}") + nodes).joinToString("\n")
+}
+
+private fun describe(version: VersionInForce): String {
+    val sinceChange = version.afterChangeMillis?.let { ", $it ms after the change of the folder" }.orEmpty()
+    val sincePublish = version.afterPublishMillis?.let { ", $it ms after the publish" }.orEmpty()
+    return "${version.id.version} is in force on all ${version.nodes} nodes$sinceChange$sincePublish"
+}
+
+private const val NANOS_PER_SECOND = 1_000_000_000L
--- /dev/null
+++ b/app/src/main/kotlin/boragelever/app/DevMesh.kt
@@ -0,0 +1,142 @@
+package boragelever.app
+
+import boragelever.core.InstanceId
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.ServiceName
+import boragelever.core.ZoneName
+import boragelever.core.config.ConfigId
+import boragelever.core.config.RouteConfig
+import boragelever.node.Node
+import boragelever.node.NodeSettings
+import boragelever.platform.ConfigFolder
+import boragelever.platform.HttpPlatform
+import boragelever.standin.PlatformStandIn
+import boragelever.standin.UpstreamSettings
+import boragelever.standin.UpstreamStandIn
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+private const val UPSTREAMS_PER_SERVICE = 2
+private val regions = listOf("khomas", "erongo", "oshana")
+private val zones = listOf("a", "b")
+
+/** A node of a [DevMesh] with its settings. */
+internal class DevNode(val settings: NodeSettings, val node: Node)
+
+/** A version that all nodes apply. */
+internal class VersionInForce(
+    val id: ConfigId,
+    val nodes: Int,
+    /** Time from the last change of the folder to the last apply, or `null` if the folder changed before the start. */
+    val afterChangeMillis: Long?,
+    /** Time from the publish to the last apply, or `null` if no node of this process published the version. */
+    val afterPublishMillis: Long?,
+)
+
+/** Six nodes in three regions with stand-ins for platform and upstreams, all on loopback. */
+internal class DevMesh(val folder: Path) : AutoCloseable {
+    private val platform = PlatformStandIn()
+    private val clients = mutableListOf<HttpPlatform>()
+    private val upstreams = mutableMapOf<ServiceName, List<UpstreamStandIn>>()
+    private val startedAtMillis = System.currentTimeMillis()
+
+    /** Wall-clock time minus monotonic time. */
+    private val epochOffsetMillis = startedAtMillis - System.nanoTime() / NANOS_PER_MILLI
+    private var lastInForce: ConfigId? = null
+
+    val platformAddress: NetworkAddress get() = platform.address
+
+    val nodes: List<DevNode> =
+        regions.flatMap { region -> zones.map { zone -> settings(region, zone) } }.map { DevNode(it, newNode(it)) }
+
+    /** Starts the nodes one after the other. */
+    fun start() {
+        nodes.forEach { it.node.start() }
+    }
+
+    /** Returns the version in force on all nodes if it is a new one, and starts upstreams for its services. */
+    fun newVersionInForce(): VersionInForce? {
+        val applied = nodes.mapNotNull { it.node.lastApplied }
+        val id = applied.map { it.id }.distinct().singleOrNull()
+        if (applied.size < nodes.size || id == null || id == lastInForce) return null
+        lastInForce = id
+        startUpstreams()
+        val lastMillis = applied.maxOf { it.atMillis }
+        val published = nodes.mapNotNull { it.node.lastPublished }.firstOrNull { it.id == id }
+        val changedMillis = changedAtMillis()?.takeIf { it >= startedAtMillis }
+        return VersionInForce(
+            id,
+            nodes.size,
+            changedMillis?.let { lastMillis + epochOffsetMillis - it },
+            published?.let { lastMillis - it.atMillis },
+        )
+    }
+
+    /** Errors of the last rejected folder. */
+    fun folderErrors(): List<String> = nodes.flatMap { it.node.currentStatus().publisher.folderErrors }.distinct()
+
+    /** Command lines that call each route. */
+    fun callLines(): List<String> {
+        val routes = nodes.first().node.state.applied?.configuration?.routes.orEmpty()
+        return routes.entries.mapIndexed { index, (name, route) ->
+            val address = nodes[index % nodes.size].node.addresses.proxy
+            "  $name: " + curlLine(address, route)
+        }
+    }
+
+    override fun close() {
+        upstreams.values.flatten().forEach { it.close() }
+        nodes.forEach { it.node.kill() }
+        clients.forEach { it.close() }
+        platform.close()
+    }
+
+    private fun settings(region: String, zone: String): NodeSettings =
+        NodeSettings(
+            NodeId("$region-$zone"),
+            RegionName(region),
+            ZoneName(zone),
+            storeRegion = RegionName(regions.first()),
+            seed = "$region-$zone".hashCode().toLong(),
+        )
+
+    private fun newNode(settings: NodeSettings): Node {
+        val client = HttpPlatform(platform.address)
+        clients += client
+        return Node(settings, client, ConfigFolder.LocalDirectory(folder))
+    }
+
+    private fun startUpstreams() {
+        val services = nodes.first().node.state.applied?.configuration?.services?.keys.orEmpty()
+        val share = maxOf(UPSTREAMS_PER_SERVICE, nodes.size / maxOf(1, services.size))
+        services.filter { it !in upstreams }.forEach { service ->
+            val first = upstreams.values.sumOf { it.size }
+            upstreams[service] = List(share) { startUpstream(service, it, nodes[(first + it) % nodes.size].node) }
+        }
+    }
+
+    private fun startUpstream(service: ServiceName, number: Int, node: Node): UpstreamStandIn =
+        UpstreamStandIn(UpstreamSettings(service, InstanceId("$service-$number")), node.addresses.admin)
+
+    /** Wall-clock time of the last change of the folder, or `null` if it cannot be read. */
+    private fun changedAtMillis(): Long? =
+        try {
+            Files.list(folder).use { files ->
+                (files.toList() + folder).maxOf { Files.getLastModifiedTime(it).toMillis() }
+            }
+        } catch (e: IOException) {
+            null
+        }
+}
+
+private const val NANOS_PER_MILLI = 1_000_000L
+
+private fun curlLine(address: NetworkAddress, route: RouteConfig): String {
+    val method = route.methods.firstOrNull()?.takeIf { it != "GET" }?.let { " -X $it" }.orEmpty()
+    val host = route.host?.let { " -H 'Host: $it'" }.orEmpty()
+    val key = if (route.idempotency.requireKey) " -H 'Idempotency-Key: try-1'" else ""
+    return "curl -i$method$host$key http://$address${route.pathPrefix}"
+}
--- a/app/src/main/kotlin/boragelever/app/Flags.kt
+++ b/app/src/main/kotlin/boragelever/app/Flags.kt
@@ -61,10 +61,18 @@
     @Option(name = "--seeds", metaVar = "HOST:PORT,...", usage = "Peer ports to contact when the store names no peer.")
     var seeds: String = ""
 
-    @Option(name = "--store-region", metaVar = "NAME", usage = "Region of the platform's store; its nodes publish first.")
+    @Option(
+        name = "--store-region",
+        metaVar = "NAME",
+        usage = "Region of the platform's store; its nodes publish first.",
+    )
     var storeRegion: String? = null
 
-    @Option(name = "--shared-key-file", metaVar = "FILE", usage = "File with the key that all nodes prove to each other.")
+    @Option(
+        name = "--shared-key-file",
+        metaVar = "FILE",
+        usage = "File with the key that all nodes prove to each other.",
+    )
     var sharedKeyFile: String? = null
 
     @Option(name = "--folder-prefix", metaVar = "PREFIX", usage = "Prefix of the folder's objects in the object store.")
@@ -76,7 +84,11 @@
     @Option(name = "--traffic-threads", metaVar = "N", usage = "Threads that carry calls, from 1 to 64.")
     var trafficThreads: String = "2"
 
-    @Option(name = "--otlp-endpoint", metaVar = "URL", usage = "Endpoint for traces over OTLP; by default none are sent.")
+    @Option(
+        name = "--otlp-endpoint",
+        metaVar = "URL",
+        usage = "Endpoint for traces over OTLP; by default none are sent.",
+    )
     var otlpEndpoint: String? = null
 }
 
--- a/app/src/main/kotlin/boragelever/app/Main.kt
+++ b/app/src/main/kotlin/boragelever/app/Main.kt
@@ -18,6 +18,7 @@
         stream.println(outcome.text)
         stream.flush()
     }
+    Termination.finish()
     exitProcess(outcome.exitCode.number)
 }
 
--- /dev/null
+++ b/app/src/main/kotlin/boragelever/app/ServiceCommands.kt
@@ -0,0 +1,72 @@
+package boragelever.app
+
+import boragelever.core.NetworkAddress
+import boragelever.node.Node
+import boragelever.platform.ConfigFolder
+import boragelever.platform.HttpPlatform
+import boragelever.platform.Platform
+import boragelever.standin.PlatformStandIn
+import boragelever.standin.UpstreamSettings
+import boragelever.standin.UpstreamStandIn
+import java.io.IOException
+
+internal fun runNode(command: Command.RunNode): CommandOutcome {
+    configureLogging(command.logging)
+    return opening {
+        HttpPlatform(command.platform).use { platform ->
+            val node = Node(command.settings, platform, command.folder.open(platform))
+            node.start()
+            Termination.onSignal {
+                node.stop()
+                node.awaitExit()
+            }
+            node.awaitExit()
+        }
+        done("")
+    }
+}
+
+internal fun runPlatform(command: Command.RunPlatform, print: (String) -> Unit): CommandOutcome {
+    configureLogging(command.logging)
+    return opening {
+        PlatformStandIn(command.listen.port, command.listen.host).use { platform ->
+            print("platform ${platform.address}")
+            Termination.onSignal(platform::close)
+            Termination.await(command.forSeconds)
+        }
+        done("")
+    }
+}
+
+internal fun runUpstream(command: Command.RunUpstream, print: (String) -> Unit): CommandOutcome {
+    configureLogging(command.logging)
+    val record = command.upstream
+    val settings =
+        UpstreamSettings(record.service, record.instance, slots = record.slots, connections = record.connections)
+    return opening {
+        UpstreamStandIn(settings, command.admin, record.address.host, record.address.port).use { upstream ->
+            print("upstream ${upstream.address}")
+            Termination.onSignal(upstream::close)
+            Termination.await(command.forSeconds)
+        }
+        done("")
+    }
+}
+
+/** Runs [block]; a port that cannot be opened is a failed dependency. */
+internal fun opening(block: () -> CommandOutcome): CommandOutcome =
+    try {
+        block()
+    } catch (e: IOException) {
+        CommandOutcome(ExitCode.DEPENDENCY_FAILED, "boragelever: ${e.message}")
+    }
+
+internal val NetworkAddress.host: String get() = value.substringBeforeLast(':').removeSurrounding("[", "]")
+
+internal val NetworkAddress.port: Int get() = value.substringAfterLast(':').toInt()
+
+private fun FolderSource.open(platform: Platform): ConfigFolder =
+    when (this) {
+        is FolderSource.ObjectStore -> ConfigFolder.ObjectStorePrefix(platform, prefix)
+        is FolderSource.Directory -> ConfigFolder.LocalDirectory(path)
+    }
--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -102,8 +102,33 @@
     /** Control state after the last event. */
     public val state: ControlState get() = control.state
 
-    /** Opens all ports and joins the mesh. Fails with an exception that names the port if one is taken. */
+    /** The last configuration that this node applied, or `null` before the first. */
+    public val lastApplied: ConfigMoment? get() = notices.lastApplied.get()
+
+    /** The last configuration that this node published, or `null` if it published none. */
+    public val lastPublished: ConfigMoment? get() = notices.lastPublished.get()
+
+    /** Returns the status as the admin port shows it. */
+    public fun currentStatus(): NodeStatus = statusView.of(state)
+
+    /**
+     * Opens all ports and joins the mesh.
+     *
+     * @throws PortUnavailableException if a port is taken; the node is closed then.
+     */
     public fun start() {
+        try {
+            openPorts()
+        } catch (e: PortUnavailableException) {
+            kill()
+            throw e
+        }
+        control.start()
+        transport.start()
+        log.info { "[node] ${settings.node} runs: callers ${addresses.proxy}, admin ${addresses.admin}" }
+    }
+
+    private fun openPorts() {
         runBlocking {
             val peerPort = opening("peer", settings.peerPort) { transport.bind() }
             val proxyPorts = opening("proxy or hop", settings.proxyPort) { proxy.start() }
@@ -120,9 +145,6 @@
                 )
             statusView = StatusView(clock, notices, store, addresses)
         }
-        control.start()
-        transport.start()
-        log.info { "[node] ${settings.node} runs: callers ${addresses.proxy}, admin ${addresses.admin}" }
     }
 
     /** Asks the node to stop: it takes no new work, finishes the calls in flight and exits. Returns at once. */
@@ -147,7 +169,7 @@
     /** Ends the node at once, with the calls in flight, as a crash of its process would. */
     public fun kill() {
         if (!closed.compareAndSet(false, true)) return
-        control.stop()
+        if (::control.isInitialized) control.stop()
         transport.close()
         runBlocking { proxy.close() }
         admin.close()
@@ -203,7 +225,7 @@
         ConfigFigures(
             version = state.applied?.id?.version?.value ?: 0,
             appliedAtSeconds = wallClockSeconds(notices.lastApplied.get()?.atMillis),
-            publishedAtSeconds = wallClockSeconds(notices.lastPublishedMillis.get()),
+            publishedAtSeconds = wallClockSeconds(notices.lastPublished.get()?.atMillis),
             applied = notices.applied.sum(),
             refused = notices.refused.sum(),
             published = notices.published.sum(),
@@ -234,7 +256,7 @@
             control.submit(event)
         }
 
-        override fun status(): NodeStatus = statusView.of(state)
+        override fun status(): NodeStatus = currentStatus()
 
         override fun notReadyReason(): String? = state.notReadyReason()
 
--- a/node/src/main/kotlin/boragelever/node/NoticeCounts.kt
+++ b/node/src/main/kotlin/boragelever/node/NoticeCounts.kt
@@ -5,8 +5,8 @@
 import java.util.concurrent.atomic.AtomicReference
 import java.util.concurrent.atomic.LongAdder
 
-/** A configuration and the monotonic time in milliseconds at which this node applied it. */
-internal data class AppliedAt(val id: ConfigId, val atMillis: Long)
+/** A configuration and the monotonic time in milliseconds at which this node applied or published it. */
+public data class ConfigMoment(public val id: ConfigId, public val atMillis: Long)
 
 /** What the notices of the control state add up to; read by status and metrics. */
 internal class NoticeCounts(private val clock: Clock) {
@@ -15,11 +15,11 @@
     val rejectedFolders = LongAdder()
     val published = LongAdder()
 
-    /** Monotonic time in milliseconds of the last publish by this node, or `null`. */
-    val lastPublishedMillis = AtomicReference<Long?>(null)
+    /** The last configuration that this node published, or `null`. */
+    val lastPublished = AtomicReference<ConfigMoment?>(null)
 
     /** The last applied configuration, or `null` before the first. */
-    val lastApplied = AtomicReference<AppliedAt?>(null)
+    val lastApplied = AtomicReference<ConfigMoment?>(null)
 
     /** Errors of the last folder that this node rejected while it published; empty after it published one. */
     val folderErrors = AtomicReference<List<String>>(emptyList())
@@ -28,12 +28,12 @@
         when (notice) {
             is Notice.ConfigApplied -> {
                 applied.increment()
-                lastApplied.set(AppliedAt(notice.id, clock.nowMillis()))
+                lastApplied.set(ConfigMoment(notice.id, clock.nowMillis()))
             }
             is Notice.ConfigRefused -> refused.increment()
             is Notice.ConfigPublished -> {
                 published.increment()
-                lastPublishedMillis.set(clock.nowMillis())
+                lastPublished.set(ConfigMoment(notice.id, clock.nowMillis()))
                 folderErrors.set(emptyList())
             }
             is Notice.FolderRejected -> {
--- a/node/src/test/kotlin/boragelever/node/NodeTest.kt
+++ b/node/src/test/kotlin/boragelever/node/NodeTest.kt
@@ -1,56 +1,134 @@
 package boragelever.node
 
-import boragelever.core.ConfigVersion
 import boragelever.core.NodeId
 import boragelever.core.RegionName
 import boragelever.core.ZoneName
+import boragelever.core.store.ByteBlock
+import boragelever.core.store.ObjectKey
+import boragelever.core.store.StoreCommand
 import boragelever.platform.ConfigFolder
-import boragelever.standin.MemoryPlatform
+import boragelever.platform.HttpPlatform
+import boragelever.standin.PlatformStandIn
+import com.sun.net.httpserver.HttpServer
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.api.io.TempDir
-import java.nio.file.Path
-import kotlin.io.path.deleteExisting
-import kotlin.io.path.writeText
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.util.concurrent.CopyOnWriteArrayList
 
-/** Guards against configurations that do not reach every node, and against nodes that do not end. */
+private const val TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
+private const val WAIT_MILLIS = 20_000L
+private const val FILE = "folder/10-scanhub.yaml"
+private const val CONFIG = """
+services:
+  scanhub: {}
+routes:
+  scans:
+    path_prefix: /scans
+    destinations: {scanhub: 1}
+"""
+
+/** Guards against a break anywhere on the way from the operators' folder to an upstream's answer. */
 class NodeTest {
-    @TempDir
-    lateinit var folder: Path
+    private val platform = PlatformStandIn()
+    private val client = HttpPlatform(platform.address)
+    private val http = HttpClient.newHttpClient()
+    private val traces = CopyOnWriteArrayList<String>()
+    private val upstream = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0)
+    private val nodes = listOf("a", "b").map { Node(settings(it), client, ConfigFolder.ObjectStorePrefix(client)) }
+
+    @AfterEach
+    fun close() {
+        nodes.forEach { it.kill() }
+        upstream.stop(0)
+        client.close()
+        platform.close()
+    }
 
     @Test
-    fun `two nodes apply each change of the folder and stop`() {
-        val platform = MemoryPlatform()
-        val nodes = listOf("a", "b").map { name ->
-            Node(settings(name), platform, ConfigFolder.LocalDirectory(folder)).apply { start() }
-        }
-        try {
-            folder.resolve("10.yaml").writeText("services:\n  fitbook: {}\n")
-            await { nodes.all { it.state.applied?.configuration?.services?.size == 1 } }
-            folder.resolve("10.yaml").deleteExisting()
-            await { nodes.all { it.state.applied?.configuration?.services?.isEmpty() == true } }
-            val ids = nodes.map { it.state.applied?.id }
-            assertEquals(ids[0], ids[1])
-            assertEquals(true, ids[0]!!.version > ConfigVersion(1))
-            nodes.forEach { it.stop() }
-            assertEquals(listOf(true, true), nodes.map { it.awaitExit(WAIT_MILLIS) })
-        } finally {
-            nodes.forEach { it.kill() }
+    fun `a file brings a route into force on both nodes and its removal takes the route away`() {
+        upstream.createContext("/") { exchange ->
+            traces += exchange.requestHeaders.getFirst("traceparent").orEmpty()
+            exchange.sendResponseHeaders(200, 0)
+            exchange.responseBody.use { it.write("scan".encodeToByteArray()) }
         }
+        upstream.start()
+        nodes.forEach { it.start() }
+        execute(StoreCommand.PutObject(ObjectKey(FILE), ByteBlock(CONFIG.encodeToByteArray())))
+        await("ready") { nodes.all { get(it.addresses.admin.value, "/readyz").statusCode() == 200 } }
+        await("not run") { nodes.all { call(it).statusCode() == 503 } }
+
+        assertEquals(204, register(nodes[0]).statusCode())
+        await("answered") { nodes.all { call(it).statusCode() == 200 } }
+        assertEquals(listOf("scan", "scan"), nodes.map { call(it).body() })
+        assertEquals(setOf(TRACE), traces.map { it.split('-')[1] }.toSet())
+
+        execute(StoreCommand.DeleteObject(ObjectKey(FILE)))
+        await("route is gone") { nodes.all { call(it).statusCode() == 404 } }
+        val ids = nodes.map { it.state.applied?.id }
+        assertEquals(ids[0], ids[1])
+
+        nodes.forEach { it.stop() }
+        assertEquals(listOf(true, true), nodes.map { it.awaitExit(WAIT_MILLIS) })
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        "/healthz, 200, ok",
+        "/readyz,  503, no configuration is in force",
+        "/status,  200, '\"lifecycle\": \"running\"'",
+        "/metrics, 200, boragelever_config_version",
+        "/metrics, 200, boragelever_control_reduce_seconds_total",
+        "/metrics, 200, 'boragelever_control_sent_bytes_total{scope=\"other_region\"}'",
+        "/metrics, 200, 'boragelever_members{status=\"alive\"}'",
+    )
+    fun `the admin port tells the state of a node without configuration`(path: String, status: Int, part: String) {
+        platform.close()
+        nodes[0].start()
+        val admin = nodes[0].addresses.admin.value
+        await("running") { "running" in get(admin, "/status").body() }
+        val response = get(admin, path)
+        assertEquals(status, response.statusCode())
+        assertEquals(true, part in response.body(), response.body())
     }
 
     private fun settings(name: String) =
         NodeSettings(NodeId(name), RegionName("khomas"), ZoneName(name), seed = name.hashCode().toLong())
 
-    private fun await(condition: () -> Boolean) {
+    private fun execute(command: StoreCommand) = runBlocking { client.execute(command) }
+
+    private fun register(node: Node): HttpResponse<String> {
+        val address = "127.0.0.1:${upstream.address.port}"
+        val body =
+            """{"service":"scanhub","instance":"scanhub-1","address":"$address","slots":9,"connections":130,""" +
+                """"state":"serving","ttl_ms":60000}"""
+        return send(
+            HttpRequest
+                .newBuilder(URI("http://${node.addresses.admin}/v1/upstreams"))
+                .POST(HttpRequest.BodyPublishers.ofString(body)),
+        )
+    }
+
+    private fun call(node: Node) = get(node.addresses.proxy.value, "/scans/7")
+
+    private fun get(address: String, path: String): HttpResponse<String> =
+        send(HttpRequest.newBuilder(URI("http://$address$path")).header("traceparent", "00-$TRACE-00f067aa0ba902b7-01"))
+
+    private fun send(request: HttpRequest.Builder) = http.send(request.build(), HttpResponse.BodyHandlers.ofString())
+
+    private fun await(what: String, condition: () -> Boolean) {
         val end = System.nanoTime() + WAIT_MILLIS * NANOS_PER_MILLI
         while (!condition()) {
-            check(System.nanoTime() < end) { "the condition does not hold within $WAIT_MILLIS ms" }
+            check(System.nanoTime() < end) { "'$what' is not reached within $WAIT_MILLIS ms" }
             Thread.sleep(20)
         }
     }
-
-    private companion object {
-        const val WAIT_MILLIS = 20_000L
-    }
 }
