Cover a lease that moved without a publish

Trials with a dropped condition on the lease row, and with a holder that ignores its own expiry, passed all tests but the golden files. Both now fail a scenario.

--- a/core/src/test/kotlin/boragelever/core/control/PublishScenarios.kt
+++ b/core/src/test/kotlin/boragelever/core/control/PublishScenarios.kt
@@ -103,6 +103,7 @@
     folder[A] = "a: 2"
     run(millis)
     check(state(nodes.first()).applied?.id?.version?.value == 1L) { "the applied version did not stay" }
+    check(state(nodes.first()).lease !is LeaseState.Held) { "the lease outlived its duration" }
     note("the store is back")
     handling = { _, _ -> Handling.EXECUTE }
     runUntil("publish after the outage", limitMillis = 12_000) { published == mapOf("a" to "2") }
@@ -174,6 +175,16 @@
     check(holder to Notice.PublishOverruled(Epoch(1)) in notices) { "the first holder was not overruled" }
 }
 
+/** The other node holds the lease but has not published: only the condition on the lease row stops the first one. */
+private fun Session.takeoverWithoutPublish() {
+    val holdScans: Session.(NodeId) -> Unit = { holder ->
+        handling = { node, effect ->
+            if (node != holder && effect is Effect.ListFolder) Handling.HOLD else Handling.EXECUTE
+        }
+    }
+    pausedPublisher(holdScans) { check(head?.version?.value == 1L) { "the other node has published" } }
+}
+
 private fun Session.manyVersions() {
     publishFirst()
     for (edit in 2..14) {
@@ -290,6 +301,14 @@
         ) {
             batchedEdits()
         },
+        Scenario(
+            "takeover-without-publish",
+            "a publish by a node that lost the lease",
+            2,
+            mapOf("a" to "3"),
+            nodes = listOf("n1", "n2"),
+            script = Session::takeoverWithoutPublish,
+        ),
         Scenario("many-versions", "documents that pile up", 14, mapOf("a" to "14"), script = Session::manyVersions),
         Scenario(
             "orderly-stop",
