--- a/core/src/main/kotlin/boragelever/core/control/AntiEntropy.kt
+++ b/core/src/main/kotlin/boragelever/core/control/AntiEntropy.kt
@@ -12,9 +12,12 @@
 /** Wait before a pull that was not answered is repeated. */
 private const val REPEAT_PULL_MILLIS = 500L
 
-/** Time without contact to peers, or without any configuration, after which a node reads the store's head itself. */
+/** Time without contact to peers after which a node reads the store's head itself. */
 internal const val ISOLATED_AFTER_MILLIS: Long = 5_000
 
+/** Time after the start in which peers can bring a configuration; then the store is the second source. */
+private const val EMPTY_AFTER_MILLIS = 2_000L
+
 /** Bound of the random wait before a read of the head, and the shortest time between two of them. */
 private const val HEAD_READ_MILLIS = 2_500L
 
@@ -102,7 +105,7 @@
 private fun ControlState.needsHead(nowMillis: Long): Boolean {
     val contactMillis = members.lastContactMillis ?: dissemination.startedMillis
     val isIsolated = nowMillis - contactMillis >= ISOLATED_AFTER_MILLIS
-    val isEmpty = applied == null && nowMillis - dissemination.startedMillis >= ISOLATED_AFTER_MILLIS
+    val isEmpty = applied == null && nowMillis - dissemination.startedMillis >= EMPTY_AFTER_MILLIS
     return isIsolated || isEmpty || isCutOffRelay
 }
 
--- a/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
+++ b/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
@@ -27,9 +27,11 @@
 internal fun ControlState.tickDetector(stamp: Stamp): Transition =
     checkWatches(stamp.nowMillis)
         .andThen { it.checkSuspects(stamp.nowMillis) }
-        .andThenIf(stamp.nowMillis >= members.detector.nextHeartbeatMillis) { it.sendHeartbeats(stamp) }
+        .andThen { if (it.isHeartbeatDue(stamp)) it.sendHeartbeats(stamp) else it.unchanged() }
         .andThenIf(stamp.nowMillis >= members.detector.nextDeadContactMillis) { it.contactDead(stamp) }
 
+private fun ControlState.isHeartbeatDue(stamp: Stamp): Boolean = stamp.nowMillis >= members.detector.nextHeartbeatMillis
+
 internal inline fun ControlState.updateDetector(change: DetectorState.() -> DetectorState): ControlState =
     updateMembers { copy(detector = detector.change()) }
 
@@ -68,7 +70,7 @@
     return forEach(silent.keys) { state, node ->
         val suspicion = Suspicion(nowMillis, raisedHere = true)
         state
-            .updateDetector { copy(suspects = suspects.put(node, suspicion)) }
+            .updateDetector { copy(suspects = suspects.put(node, suspicion), nextHeartbeatMillis = nowMillis) }
             .judge(node, MemberStatus.SUSPECT, nowMillis, announce = true)
     }
 }
@@ -102,12 +104,10 @@
 
 private fun ControlState.sendHeartbeats(stamp: Stamp): Transition {
     val nowMillis = stamp.nowMillis
-    val ring = members.table.region(identity.region).ring
-    val successors = ring.after(identity.node).take(WATCHED_SUCCESSORS)
     val relays = members.table.relays(identity.region, relaysPerRegion)
     val isRelay = identity.node in relays
     val remote = if (isRelay) remotePeers(stamp) else emptyList()
-    val targets = (successors + remote).toSet()
+    val targets = (watchedSuccessors() + remote).toSet()
     val detector = members.detector
     val watches = targets.associateWith { detector.watches[it] ?: Watch(nowMillis) }.toPersistentMap()
     val relaySinceMillis = if (isRelay) detector.relaySinceMillis ?: nowMillis else null
@@ -121,6 +121,23 @@
         .andThen { it.publishReachability(nowMillis) }
 }
 
+/**
+ * Returns the nearest successors in the ring up to the third one that is not suspect.
+ *
+ * Each suspect one on the way adds one more, so that neighbours that died together, such as those of one zone, are
+ * found in a few rounds although their own watchers are dead.
+ */
+private fun ControlState.watchedSuccessors(): List<NodeId> {
+    var missing = WATCHED_SUCCESSORS
+    return members.table.region(identity.region).ring
+        .after(identity.node)
+        .takeWhile { node ->
+            val isWanted = missing > 0
+            missing += if (isAlive(node)) -1 else 1
+            isWanted
+        }.toList()
+}
+
 /** Relays of the other regions, and a random member of each unreachable one in case that its relays are gone. */
 private fun ControlState.remotePeers(stamp: Stamp): List<NodeId> =
     members.table.regions.filterKeys { it != identity.region }.flatMap { (region, view) ->
--- a/core/src/test/kotlin/boragelever/core/GoldenSession.kt
+++ b/core/src/test/kotlin/boragelever/core/GoldenSession.kt
@@ -107,6 +107,7 @@
         when (event) {
             is Event.Ticked -> true
             is Event.StoreAnswered -> event.request.owner !in scope.owners
+            is Event.PeerMessageReceived -> true
             else -> false
         }
 
@@ -143,6 +144,10 @@
                 is Event.StoreAnswered -> "${event.request} ${render(event.answer)}"
                 is Event.FolderAnswered -> "${event.request} ${event.answer}"
                 is Event.FolderMerged -> "${event.request} ${event.outcome}"
+                is Event.PeerMessageReceived -> "from ${event.from} ${render(event.message)}"
+                is Event.PeerConnected -> "connected ${event.record.node} ${event.record.incarnation}"
+                is Event.PeerUnreachable -> "unreachable ${event.peer}"
+                is Event.UpstreamAnnounced -> "announced ${event.upstream.instance} ${event.upstream.state}"
                 is Event.DocumentCompiled -> "compiled ${event.version}: ${event.outcome::class.simpleName}"
                 else -> event.toString()
             }
@@ -151,6 +156,8 @@
             when (effect) {
                 is Effect.CallStore -> "${effect.request} ${render(effect.command)}"
                 is Effect.Report -> "report ${effect.notice}"
+                is Effect.SendToPeer -> "to ${effect.peer} ${render(effect.message)}"
+                is Effect.InstallSnapshot -> "install ${render(effect.snapshot)}"
                 else -> effect.toString()
             }
 
--- a/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
+++ b/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
@@ -3,20 +3,25 @@
 import boragelever.core.ConfigVersion
 import boragelever.core.Digest
 import boragelever.core.Epoch
+import boragelever.core.FakeStore
 import boragelever.core.Incarnation
-import boragelever.core.InstanceId
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
 import boragelever.core.RegionName
-import boragelever.core.ServiceName
+import boragelever.core.SessionObserver
 import boragelever.core.Stamp
 import boragelever.core.ZoneName
 import boragelever.core.config.ConfigDocument
 import boragelever.core.config.ConfigId
 import boragelever.core.routing.RoutingSnapshot
 import boragelever.core.store.ObjectKey
-import boragelever.core.store.Row
 import boragelever.core.store.RowValue
+import boragelever.core.store.RowWrite
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreCommand
+import boragelever.core.store.StoreFailure
+import boragelever.core.store.StoreKeys
+import boragelever.core.store.WriteId
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -36,18 +41,22 @@
 }
 
 /** Drives the cores of many nodes over a queue with delays and faults, under one simulated clock. */
-internal class FakeMesh(val size: MeshSize, seed: Int) {
+internal class FakeMesh(
+    size: MeshSize,
+    seed: Int,
+    private val observer: SessionObserver = SessionObserver.None,
+    private val observed: NodeId? = null,
+) {
     private val random = Random(seed)
     private val queue = PriorityQueue<Pending>(compareBy({ it.atMillis }, { it.order }))
     private var order = 0L
     var nowMillis: Long = 10_000
     var faults: Faults = Faults()
     var isStoreUp: Boolean = true
-    val store = FakeStore()
+    var store = FakeStore()
 
     /** Tells if a link between two nodes is cut. Cut links lose messages silently. */
     var isCut: (FakeNode, FakeNode) -> Boolean = { _, _ -> false }
-    var observer: (FakeNode, Event, Transition) -> Unit = { _, _, _ -> }
     val nodes: List<FakeNode> = size.identities().map { FakeNode(it) }
     private val byAddress = nodes.associateBy { it.identity.peerAddress }
     private val documents = mutableMapOf<ConfigVersion, Digest>()
@@ -125,14 +134,15 @@
     fun publish(node: FakeNode, version: Long, document: ConfigDocument = sampleDocument(version)) {
         val id = ConfigId(ConfigVersion(version), document.digest())
         val key = ObjectKey("config/$version")
-        store.documents[key] = document
-        store.put("config/head", RowValue.Head(id.version, Epoch(1), id.digest, key, node.identity.node))
+        val head = RowValue.Head(id.version, Epoch(1), id.digest, key, node.identity.node)
+        val write = StoreCommand.Transact(WriteId("head"), emptyList(), listOf(RowWrite.Put(StoreKeys.HEAD, head)))
+        store = store.execute(StoreCommand.PutDocument(key, document)).first.execute(write).first
         apply(node, null, node.state.offerConfig(id, document))
     }
 
     /** Offers what the store's head names to [node], as a publisher does with what its predecessor left unpushed. */
     fun takeOver(node: FakeNode) {
-        val head = store.rows["config/head"]?.value as? RowValue.Head ?: return
+        val head = store.rows[StoreKeys.HEAD]?.value as? RowValue.Head ?: return
         apply(
             node,
             null,
@@ -142,8 +152,11 @@
 
     private fun apply(node: FakeNode, event: Event?, transition: Transition) {
         node.check(transition.state)
+        val before = node.state
         node.state = transition.state
-        if (event != null) observer(node, event, transition)
+        if (event != null && node.identity.node == observed) {
+            observer.reduced(nowMillis, node.identity.node, event, before, transition)
+        }
         transition.effects.forEach { run(node, it) }
     }
 
@@ -198,7 +211,7 @@
         val theirs = checkNotNull(from.state.members.own)
         val ours = checkNotNull(to.state.members.own)
         feed(to) { Event.PeerConnected(it, theirs) }
-        schedule(latency(from, to)) { feed(from) { Event.PeerConnected(it, ours) } }
+        feed(from) { Event.PeerConnected(it, ours) }
     }
 
     private fun latency(from: FakeNode, to: FakeNode): Long =
@@ -207,11 +220,17 @@
     private fun callStore(node: FakeNode, effect: Effect.CallStore) {
         val life = node.life
         schedule(5) {
-            val answer = store.answer(effect.command, isStoreUp)
+            val answer = if (isStoreUp) execute(effect.command) else OUTAGE
             feed(node, life) { Event.StoreAnswered(it, effect.request, answer) }
         }
     }
 
+    private fun execute(command: StoreCommand): StoreAnswer {
+        val (next, answer) = store.execute(command)
+        store = next
+        return answer
+    }
+
     private fun compile(node: FakeNode, effect: Effect.CompileDocument) {
         val life = node.life
         schedule(2) {
@@ -249,6 +268,8 @@
     }
 }
 
+private val OUTAGE = StoreAnswer.StoreFailed(StoreFailure.Unavailable("the store is down"))
+
 /** Number of regions, zones in each, and nodes in each zone. */
 internal data class MeshSize(val regions: Int, val zones: Int, val nodes: Int, val seeds: Int = 3) {
     fun identities(): List<NodeIdentity> {
@@ -260,7 +281,7 @@
     }
 
     private fun identity(r: Int, z: Int, index: Int): NodeIdentity {
-        val name = "n$r$z-$index"
+        val name = "n$r${z}_$index"
         return NodeIdentity(
             node = NodeId(name),
             region = RegionName("r$r"),
@@ -272,6 +293,3 @@
         )
     }
 }
-
-internal fun sampleUpstream(name: String, state: UpstreamState): UpstreamRecord =
-    UpstreamRecord(ServiceName("s"), InstanceId("$name-s"), NetworkAddress("$name:80"), 9, 130, state)
