--- a/core/src/main/kotlin/boragelever/core/control/ControlState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/ControlState.kt
@@ -68,9 +68,16 @@
 
     public data object Running : LifecycleState
 
-    /** No new work is taken; the process exits once no call is in flight. */
-    public data class Draining(public val sinceMillis: Long, public val callsFinished: Boolean = false) :
-        LifecycleState
+    /**
+     * No new work is taken; the process exits once no call is in flight.
+     *
+     * The node announces its end at [departedMillis], shortly before it exits.
+     */
+    public data class Draining(
+        public val sinceMillis: Long,
+        public val callsFinished: Boolean = false,
+        public val departedMillis: Long? = null,
+    ) : LifecycleState
 }
 
 /** Returns the state with a fresh request id for [owner]. */
--- a/core/src/main/kotlin/boragelever/core/control/LifecycleReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/LifecycleReducer.kt
@@ -5,6 +5,9 @@
 /** Time that a leaving node stays, so that every peer has taken its upstreams out of the snapshots. */
 internal const val DEPARTURE_MILLIS: Long = 2_000
 
+/** Time between the announcement of the end and the exit, in which the announcement is repeated if need be. */
+private const val FAREWELL_MILLIS = 500L
+
 internal fun reduceLifecycle(state: ControlState, event: Event): Transition {
     val current = if (state.pausedMillis == null) state else state.copy(pausedMillis = null)
     return when (event) {
@@ -19,11 +22,19 @@
 private fun ControlState.tickLifecycle(nowMillis: Long): Transition {
     val gapMillis = nowMillis - (lastTickMillis ?: nowMillis)
     val pausedMillis = gapMillis.takeIf { it > PAUSE_MILLIS }
-    val next = copy(lastTickMillis = nowMillis, pausedMillis = pausedMillis)
+    val next = copy(lastTickMillis = nowMillis, pausedMillis = pausedMillis).departIfDone(nowMillis)
+    val departedMillis = (next.lifecycle as? LifecycleState.Draining)?.departedMillis
+    val mayExit = departedMillis != null && nowMillis - departedMillis >= FAREWELL_MILLIS
     return next
         .unchanged()
         .andThenIf(pausedMillis != null) { it.with(report(Notice.Resumed(gapMillis))) }
-        .andThenIf(next.mayExit(nowMillis)) { it.with(Effect.Exit) }
+        .andThenIf(mayExit) { it.with(Effect.Exit) }
+}
+
+private fun ControlState.departIfDone(nowMillis: Long): ControlState {
+    val draining = lifecycle as? LifecycleState.Draining ?: return this
+    if (draining.departedMillis != null || !isDrained(draining, nowMillis)) return this
+    return copy(lifecycle = draining.copy(departedMillis = nowMillis))
 }
 
 private fun ControlState.stopRequested(nowMillis: Long): Transition =
@@ -38,10 +49,13 @@
         else -> unchanged()
     }
 
-private fun ControlState.mayExit(nowMillis: Long): Boolean {
-    val draining = lifecycle as? LifecycleState.Draining ?: return false
+private fun ControlState.isDrained(draining: LifecycleState.Draining, nowMillis: Long): Boolean {
     val elapsedMillis = nowMillis - draining.sinceMillis
     val services = applied?.configuration?.services?.values.orEmpty()
     val boundMillis = (services.map { it.drainMillis } + ServiceConfig().drainMillis).max()
     return elapsedMillis >= boundMillis || (draining.callsFinished && elapsedMillis >= DEPARTURE_MILLIS)
 }
+
+/** True once the node has announced its end; it no longer refutes that it is dead. */
+internal val ControlState.hasDeparted: Boolean
+    get() = (lifecycle as? LifecycleState.Draining)?.departedMillis != null
--- a/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
@@ -24,6 +24,13 @@
         copy(incarnation = Incarnation(maxOf(incarnation, atLeast).value + 1))
     }
 
+/** Tells all members that this node ends, so that nobody has to find out by its silence. */
+internal fun ControlState.announceEnd(nowMillis: Long): Transition {
+    val own = members.own ?: return unchanged()
+    val end = MemberStatusRecord(own, MemberStatus.DEAD)
+    return broadcast(listOf(end), TreePart(TreeScope.ALL), nowMillis, urgent = true)
+}
+
 /** Result of merging records: the transition and those that brought something new. */
 internal data class Merged(val transition: Transition, val news: List<MemberStatusRecord>)
 
@@ -46,7 +53,7 @@
     val own = members.own ?: return unchanged()
     val order = update.record.version.compareTo(own.version)
     val isWrong = order > 0 || (order == 0 && update.status != MemberStatus.ALIVE)
-    return if (isWrong) raiseIncarnation(update.record.incarnation, nowMillis) else unchanged()
+    return if (isWrong && !hasDeparted) raiseIncarnation(update.record.incarnation, nowMillis) else unchanged()
 }
 
 private fun ControlState.mergeRecord(update: MemberStatusRecord, nowMillis: Long): Transition? {
--- a/core/src/main/kotlin/boragelever/core/control/MembershipReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MembershipReducer.kt
@@ -37,13 +37,17 @@
     val resumed = if (isPaused) restartDetector(nowMillis) else this
     return resumed
         .unchanged()
-        .andThenIf(isPaused) { it.raiseIncarnation(identity.incarnation, nowMillis) }
+        .andThenIf(isPaused && !hasDeparted) { it.raiseIncarnation(identity.incarnation, nowMillis) }
+        .andThenIf(isDeparting(nowMillis)) { it.announceEnd(nowMillis) }
         .andThen { it.tickDetector(stamp) }
         .andThen { it.tickJoin(stamp) }
         .andThen { it.adjustScans(stamp).tickRows(stamp) }
         .andThen { it.tickOutbox(nowMillis) }
 }
 
+private fun ControlState.isDeparting(nowMillis: Long): Boolean =
+    (lifecycle as? LifecycleState.Draining)?.departedMillis == nowMillis
+
 private fun ControlState.peerMessage(event: Event.PeerMessageReceived): Transition {
     val nowMillis = event.stamp.nowMillis
     val from = event.from
--- a/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
@@ -12,6 +12,13 @@
 import boragelever.core.routing.RoutingSnapshot
 import kotlinx.collections.immutable.PersistentMap
 
+/** Longest prefix first; at the same length a route that names a host or methods is tried before one that takes any. */
+private val TRIED_ORDER: Comparator<CompiledRoute> =
+    compareByDescending<CompiledRoute> { it.config.pathPrefix.length }
+        .thenBy { it.config.host == null }
+        .thenBy { it.config.methods.isEmpty() }
+        .thenBy { it.name.value }
+
 /** What a snapshot is built from; compared by identity, so that a tick costs nothing. */
 public class SnapshotInputs internal constructor(
     internal val applied: AppliedConfig,
@@ -68,7 +75,7 @@
         .map { (name, route) ->
             val destinations = route.destinations.filterKeys { it in services }
             CompiledRoute(name, route, destinations.map { (service, weight) -> Destination(service, weight) })
-        }.sortedWith(compareByDescending<CompiledRoute> { it.config.pathPrefix.length }.thenBy { it.name.value })
+        }.sortedWith(TRIED_ORDER)
 
 private fun ControlState.endpoints(): Map<ServiceName, List<Endpoint>> {
     val unreachable = members.table.regions.keys.filter { isUnreachable(it) }.toSet()
--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/control/CoreDriver.kt
@@ -0,0 +1,71 @@
+package boragelever.core.control
+
+import boragelever.core.ConfigVersion
+import boragelever.core.NodeId
+import boragelever.core.Stamp
+import boragelever.core.config.ConfigDocument
+import boragelever.core.config.ConfigId
+import boragelever.core.config.Configuration
+
+/** Drives one core by hand; [effects] are those of the last step. */
+internal class CoreDriver(size: MeshSize = MeshSize(1, 1, 3)) {
+    private val identities = size.identities()
+    var state = ControlState(identities.first())
+    var effects = emptyList<Effect>()
+    var nowMillis = 0L
+    val peers: List<NodeId> = identities.drop(1).map { it.node }
+
+    val sent: List<PeerMessage> get() = effects.filterIsInstance<Effect.SendToPeer>().map { it.message }
+    val notices: List<Notice> get() = effects.filterIsInstance<Effect.Report>().map { it.notice }
+
+    init {
+        step { Event.Started(it) }
+        identities.drop(1).forEach { identity -> step { Event.PeerConnected(it, record(identity)) } }
+    }
+
+    fun step(event: (Stamp) -> Event): CoreDriver = take(reduce(state, event(Stamp(nowMillis, nowMillis + 17))))
+
+    fun receive(message: PeerMessage, from: NodeId = peers.first()): CoreDriver =
+        step { Event.PeerMessageReceived(it, from, message) }
+
+    /** Ticks every 100 ms for [millis] and gathers the effects. */
+    fun tick(millis: Long): CoreDriver {
+        val gathered = mutableListOf<Effect>()
+        repeat((millis / TICK_MILLIS).toInt()) {
+            nowMillis += TICK_MILLIS
+            gathered += step { Event.Ticked(it) }.effects
+        }
+        effects = gathered
+        return this
+    }
+
+    /** Applies [version] with [configuration] as if a peer had pushed it to this node alone. */
+    fun apply(version: Long, configuration: Configuration? = null): CoreDriver {
+        val document = sampleDocument(version)
+        receive(PeerMessage.ConfigPush(sampleId(version), ConfigBody.Full(document), TreeScope.SELF))
+        val compiled = CompileOutcome.Compiled(configuration ?: sampleConfiguration(document))
+        return step { Event.DocumentCompiled(it, ConfigVersion(version), compiled) }
+    }
+
+    private fun take(transition: Transition): CoreDriver {
+        state = transition.state
+        effects = transition.effects
+        return this
+    }
+
+    companion object {
+        fun record(identity: NodeIdentity): MemberRecord =
+            MemberRecord(
+                identity.node,
+                identity.incarnation,
+                sequence = 0,
+                identity.region,
+                identity.zone,
+                identity.peerAddress,
+                identity.callAddress,
+            )
+    }
+}
+
+internal fun sampleId(version: Long, document: ConfigDocument = sampleDocument(version)): ConfigId =
+    ConfigId(ConfigVersion(version), document.digest())
--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/control/MemberMergeTest.kt
@@ -0,0 +1,105 @@
+package boragelever.core.control
+
+import boragelever.core.Incarnation
+import boragelever.core.control.MemberStatus.ALIVE
+import boragelever.core.control.MemberStatus.DEAD
+import boragelever.core.control.MemberStatus.SUSPECT
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments
+import org.junit.jupiter.params.provider.Arguments.arguments
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.random.Random
+
+/** Guards against stale records that replace newer ones and against tables that differ by the order of updates. */
+class MemberMergeTest {
+    private val records = MeshSize(2, 2, 3).identities().map { CoreDriver.record(it) }
+
+    private fun update(node: Int, incarnation: Long, sequence: Long, status: MemberStatus): MemberStatusRecord =
+        MemberStatusRecord(records[node].copy(incarnation = Incarnation(incarnation), sequence = sequence), status)
+
+    @ParameterizedTest
+    @MethodSource("merges")
+    fun `the newer record wins and at the same version the worse status`(
+        known: Triple<Long, Long, MemberStatus>,
+        told: Triple<Long, Long, MemberStatus>,
+        isNews: Boolean,
+    ) {
+        val before = update(0, known.first, known.second, known.third)
+        val table = MemberTable().put(Member(before.record, before.status, 0))
+        val after = table.merge(update(0, told.first, told.second, told.third), 1)
+        assertEquals(isNews, after != null)
+    }
+
+    @ParameterizedTest
+    @MethodSource("refutations")
+    fun `a node refutes what is wrong about itself`(
+        incarnation: Long,
+        sequence: Long,
+        status: MemberStatus,
+        refutes: Boolean,
+    ) {
+        val core = CoreDriver()
+        val wrong = checkNotNull(
+            core.state.members.own,
+        ).copy(incarnation = Incarnation(incarnation), sequence = sequence)
+        core.receive(PeerMessage.MemberUpdate(1, listOf(MemberStatusRecord(wrong, status)), TreeScope.SELF))
+        val own = checkNotNull(core.state.members.own)
+        assertEquals(refutes, own.incarnation > Incarnation(1_000))
+        assertEquals(
+            refutes,
+            core.sent.any {
+                it is PeerMessage.MemberUpdate && it.records.any { r ->
+                    r.record == own
+                }
+            },
+        )
+        assertEquals(ALIVE, core.state.members.table[own.node]?.status)
+        if (refutes) assertTrue(own.version > wrong.version)
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `digest and rings do not depend on the order of updates`(seed: Int) {
+        val random = Random(seed)
+        val updates = List(60) {
+            val status = MemberStatus.entries[random.nextInt(3)]
+            update(random.nextInt(records.size), random.nextLong(3), random.nextLong(3), status)
+        }
+        val known = records.map { MemberStatusRecord(it.copy(incarnation = Incarnation(-1)), ALIVE) }
+        val tables = List(3) {
+            (known + updates.shuffled(random)).fold(MemberTable()) { table, next -> table.merge(next, 0) ?: table }
+        }
+        assertEquals(1, tables.map { it.digest }.distinct().size)
+        assertEquals(1, tables.map { table -> table.regions.mapValues { it.value.ring } }.distinct().size)
+    }
+
+    private companion object {
+        @JvmStatic
+        fun merges(): List<Arguments> =
+            listOf(
+                arguments(Triple(5L, 1L, ALIVE), Triple(5L, 2L, ALIVE), true),
+                arguments(Triple(5L, 1L, DEAD), Triple(6L, 0L, ALIVE), true),
+                arguments(Triple(5L, 1L, ALIVE), Triple(5L, 1L, SUSPECT), true),
+                arguments(Triple(5L, 1L, SUSPECT), Triple(5L, 1L, DEAD), true),
+                arguments(Triple(5L, 1L, SUSPECT), Triple(5L, 1L, ALIVE), false),
+                arguments(Triple(5L, 1L, DEAD), Triple(5L, 1L, DEAD), false),
+                arguments(Triple(5L, 1L, ALIVE), Triple(4L, 9L, DEAD), false),
+                arguments(Triple(5L, 1L, ALIVE), Triple(5L, 0L, SUSPECT), false),
+            )
+
+        @JvmStatic
+        fun refutations(): List<Arguments> =
+            listOf(
+                arguments(1_000L, 0L, ALIVE, false),
+                arguments(1_000L, 0L, SUSPECT, true),
+                arguments(1_000L, 0L, DEAD, true),
+                arguments(999L, 7L, DEAD, false),
+                arguments(1_005L, 0L, ALIVE, true),
+            )
+
+        @JvmStatic
+        fun seeds(): List<Int> = listOf(1, 2, 3, 4, 5, 6)
+    }
+}
--- a/core/src/test/kotlin/boragelever/core/control/MeshFailureTest.kt
+++ b/core/src/test/kotlin/boragelever/core/control/MeshFailureTest.kt
@@ -56,6 +56,13 @@
                 Case("a zone dies", MeshSize(2, 2, 8), 1, 4_000) {
                     nodes.filter { it.isIn("r0") && it.identity.zone.value == "z1" }.forEach { kill(it) }
                 },
+                Case("all nodes of a region stop", TODAY, 1, 4_000) {
+                    nodes.filter { it.isIn("r2") }.forEach { node ->
+                        feed(node) { Event.StopRequested(it) }
+                        feed(node) { Event.CallsFinished(it) }
+                    }
+                    runUntil(4_000) { nodes.none { it.isIn("r2") && it.isUp } }
+                },
                 Case("a node pauses for 10 s", TODAY, 2, 4_000) {
                     val paused = nodes[4]
                     paused.isPaused = true
