--- a/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
@@ -41,6 +41,7 @@
 import java.net.SocketException
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
 private val LOOPBACK: InetAddress = InetAddress.getLoopbackAddress()
@@ -77,6 +78,10 @@
                         socket.getOutputStream().write(step.text.encodeToByteArray())
                         break
                     }
+                    is UpstreamStep.AnswerAfter -> {
+                        step.opened.await()
+                        socket.getOutputStream().write(step.text.encodeToByteArray())
+                    }
                     UpstreamStep.Crash -> {
                         close()
                         break
@@ -100,6 +105,8 @@
 
     data class AnswerAndClose(val text: String) : UpstreamStep
 
+    data class AnswerAfter(val opened: CountDownLatch, val text: String) : UpstreamStep
+
     /** Ends all connections and the listener, as the death of the process does. */
     data object Crash : UpstreamStep
 
@@ -127,6 +134,10 @@
     error("the condition did not come about")
 }
 
+/** Opens a connection and sends [request] without reading the answer. */
+internal fun openCall(port: Int, request: String): Socket =
+    Socket(LOOPBACK, port).also { it.getOutputStream().write(request.encodeToByteArray()) }
+
 /** Sends [request] on a new connection and returns everything up to the end of the connection. */
 internal fun rawCall(port: Int, request: String): String =
     Socket(LOOPBACK, port).use { socket ->
--- /dev/null
+++ b/node/src/test/kotlin/boragelever/node/proxy/ProxySessionTest.kt
@@ -0,0 +1,113 @@
+package boragelever.node.proxy
+
+import boragelever.core.NodeId
+import boragelever.core.call.CallRequest
+import boragelever.core.call.fingerprintOf
+import boragelever.core.config.RouteConfig
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import java.util.concurrent.CountDownLatch
+
+private const val GET = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+private const val LARGE = 1_000_000
+
+/** Sessions in which several things happen at once; each names the failure that it guards against. */
+class ProxySessionTest {
+    internal class Session(
+        val failure: String,
+        val steps: List<UpstreamStep> = emptyList(),
+        val run: (FakeMesh, FakeUpstream) -> Unit,
+    ) {
+        override fun toString() = failure
+    }
+
+    @ParameterizedTest
+    @MethodSource("sessions")
+    internal fun `a session ends as it should`(session: Session) {
+        // The deadline is far away, so that nothing but the session itself ends a call.
+        val route = RouteConfig(pathPrefix = "/", destinations = mapOf(FakeMesh.SERVICE to 1), timeoutMillis = 60_000)
+        val retry = route.retry.copy(attemptTimeoutMillis = 60_000)
+        val settings = ProxySettings(NodeId("a"), bindHost = "127.0.0.1", receiveTimeoutMillis = 200)
+        FakeUpstream(*session.steps.toTypedArray()).use { upstream ->
+            FakeMesh(listOf(upstream), route.copy(retry = retry), settings = settings).use { session.run(it, upstream) }
+        }
+    }
+
+    private companion object {
+        val HANG = listOf(UpstreamStep.Hang, UpstreamStep.Hang)
+
+        fun outcomeOf(answer: String): String =
+            answer.substringAfter(' ').substringBefore(' ') + " " +
+                answer.substringAfter("boragelever-outcome: ", "none").substringBefore("\r\n")
+
+        @JvmStatic
+        fun sessions(): List<Session> = SESSIONS
+
+        private val SESSIONS = listOf(
+            Session("a cancelled call keeps its slots", HANG) { mesh, upstream ->
+                val calls = List(2) { openCall(mesh.proxyPort, GET) }
+                awaitUntil { upstream.requests.size == 2 }
+                calls.forEach { it.close() }
+                awaitUntil { mesh.callsInFlight == 0 }
+                assertEquals("200 completed", outcomeOf(rawCall(mesh.proxyPort, GET)))
+            },
+            Session("a call waits without bound for a slot", HANG) { mesh, upstream ->
+                val calls = List(2) { openCall(mesh.proxyPort, GET) }
+                awaitUntil { upstream.requests.size == 2 }
+                assertEquals("503 not-run", outcomeOf(rawCall(mesh.proxyPort, GET)))
+                assertEquals(2, upstream.requests.size)
+                calls.forEach { it.close() }
+            },
+            CountDownLatch(1).let { opened ->
+                Session("a stopping node cuts a call", listOf(UpstreamStep.AnswerAfter(opened, OK))) { mesh, upstream ->
+                    val call = openCall(mesh.proxyPort, GET)
+                    awaitUntil { upstream.requests.size == 1 }
+                    mesh.drain()
+                    assertEquals("503 not-run", outcomeOf(rawCall(mesh.proxyPort, GET)))
+                    opened.countDown()
+                    assertEquals("200 completed", outcomeOf(readMessage(call).orEmpty()))
+                    call.close()
+                }
+            },
+            Session(
+                "a large body is held or changed on its way",
+                listOf(UpstreamStep.Answer("HTTP/1.1 200 OK\r\nContent-Length: $LARGE\r\n\r\n" + "d".repeat(LARGE))),
+            ) { mesh, upstream ->
+                val head = "PUT /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: $LARGE\r\n\r\n"
+                val answer = rawCall(mesh.proxyPort, head + "u".repeat(LARGE))
+                assertEquals("200 completed", outcomeOf(answer))
+                assertEquals("d".repeat(LARGE), answer.substringAfter("\r\n\r\n"))
+                assertEquals("u".repeat(LARGE), upstream.requests.single().substringAfter("\r\n\r\n"))
+            },
+            Session("a slow sender holds a connection") { mesh, upstream ->
+                assertEquals("408 not-run", outcomeOf(rawCall(mesh.proxyPort, "GET /x HTTP/1.1\r\nHost:")))
+                val head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo"
+                assertEquals("408 not-run", outcomeOf(rawCall(mesh.proxyPort, head)))
+                assertEquals(0, upstream.requests.size)
+            },
+            Session("the request that killed an upstream is not named", listOf(UpstreamStep.Crash)) { mesh, _ ->
+                assertEquals("502 unknown", outcomeOf(rawCall(mesh.proxyPort, GET.replace("GET", "POST"))))
+                val died = mesh.observations.single() as TrafficObservation.UpstreamDied
+                assertEquals(listOf(fingerprintOf(CallRequest("POST", "/x"))), died.running)
+            },
+            Session("a connection serves one call only, or mixes two") { mesh, upstream ->
+                val request = "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+                openCall(mesh.proxyPort, request.format(1) + request.format(2)).use { socket ->
+                    repeat(2) { assertEquals("200 completed", outcomeOf(readMessage(socket).orEmpty())) }
+                }
+                assertEquals(listOf("GET /1", "GET /2"), upstream.requests.map { it.substringBefore(" HTTP") })
+            },
+            Session("internal and connection headers of a caller reach the upstream") { mesh, upstream ->
+                val headers = "Connection: x-a, close\r\nx-a: 1\r\nx-b: 1\r\nTE: x\r\nboragelever-instance: z\r\n"
+                rawCall(mesh.proxyPort, "GET /x HTTP/1.1\r\nHost: h\r\nboragelever-deadline-ms: 5000\r\n$headers\r\n")
+                val names = upstream.requests.single().lines().map { it.substringBefore(':').lowercase() }.toSet()
+                val dropped = setOf("connection", "x-a", "te", "boragelever-instance", "boragelever-fingerprint")
+                assertEquals(emptySet<String>(), names intersect dropped)
+                assertTrue(names.containsAll(setOf("x-b", "boragelever-deadline-ms", "boragelever-attempts-left")))
+            },
+        )
+    }
+}
