--- a/app/src/main/kotlin/boragelever/app/Arguments.kt
+++ b/app/src/main/kotlin/boragelever/app/Arguments.kt
@@ -50,27 +50,38 @@
 ): Result<Flags, UsageError> {
     val flags = name.newFlags()
     val parser = CmdLineParser(flags)
-    return try {
-        parser.parseArgument(variables(name, environment))
-        parser.parseArgument(arguments)
-        Ok(flags)
-    } catch (e: CmdLineException) {
-        val problem = e.message.orEmpty().trimEnd('.')
-        Err(UsageError("$problem; 'boragelever ${name.word} --help' lists the flags"))
+    return variables(name, environment).flatMap { variables ->
+        try {
+            parser.parseArgument(variables)
+            parser.parseArgument(arguments)
+            Ok(flags)
+        } catch (e: CmdLineException) {
+            val problem = e.message.orEmpty().trimEnd('.')
+            Err(UsageError("$problem; 'boragelever ${name.word} --help' lists the flags"))
+        }
     }
 }
 
 /** The set variables of [environment] as arguments. */
-private fun variables(name: CommandName, environment: Map<String, String>): List<String> =
-    name.flags().filter { it.name != "--help" }.flatMap { flag ->
-        val value = environment[flag.variable]
-        when {
-            value == null -> emptyList()
-            flag.metaVar != null -> listOf(flag.name, value)
-            value == "true" -> listOf(flag.name)
-            else -> emptyList()
-        }
+private fun variables(name: CommandName, environment: Map<String, String>): Result<List<String>, UsageError> {
+    val set = name.flags().mapNotNull { flag -> environment[flag.variable]?.let { flag to it } }
+    val wrong = set.firstOrNull { (flag, value) -> flag.metaVar == null && value !in switchValues }
+    if (wrong != null) {
+        val (flag, value) = wrong
+        return Err(UsageError("${flag.variable} for ${flag.name}: '$value' is not allowed; give true or false"))
     }
+    return Ok(
+        set.flatMap { (flag, value) ->
+            when {
+                flag.metaVar != null -> listOf(flag.name, value)
+                value == "true" -> listOf(flag.name)
+                else -> emptyList()
+            }
+        },
+    )
+}
+
+private val switchValues = setOf("true", "false")
 
 private fun commandOf(name: CommandName, flags: Flags, seed: Long): Result<Command, UsageError> =
     binding {
@@ -109,7 +120,7 @@
                 peerPort = Values.port("--peer-port", flags.peerPort).bind(),
                 adminHost = Values.host("--admin-host", flags.adminHost).bind(),
                 adminPort = Values.port("--admin-port", flags.adminPort).bind(),
-                seeds = Values.addresses("--seeds", flags.seeds).bind(),
+                seeds = Values.addresses("--seeds", flags.seeds.orEmpty()).bind(),
                 storeRegion = Values.optionalName("--store-region", flags.storeRegion).bind()?.let(::RegionName),
                 sharedKey = flags.sharedKeyFile?.let { readKey(it).bind() },
                 trafficThreads =
--- a/app/src/main/kotlin/boragelever/app/CommandName.kt
+++ b/app/src/main/kotlin/boragelever/app/CommandName.kt
@@ -4,6 +4,7 @@
 import org.kohsuke.args4j.NamedOptionDef
 import org.kohsuke.args4j.spi.BooleanOptionHandler
 
+private const val HELP_FLAG = "--help"
 private const val ENVIRONMENT_PREFIX = "BORAGELEVER_"
 
 /** A command of the program with its flags. */
@@ -18,7 +19,7 @@
     VERSION("version", "Shows the version of the program.", ::Flags),
     ;
 
-    /** Descriptions of all flags in the order of their names. */
+    /** Descriptions of all flags but `--help`, in the order of their names. */
     fun flags(): List<FlagDescription> =
         CmdLineParser(newFlags()).options
             .mapNotNull { handler ->
@@ -26,11 +27,12 @@
                     FlagDescription(
                         option.name(),
                         option.metaVar().takeUnless { handler is BooleanOptionHandler },
-                        handler.printDefaultValue(),
+                        handler.printDefaultValue().takeUnless { handler is BooleanOptionHandler },
                         option.usage(),
                     )
                 }
-            }.sortedBy { it.name }
+            }.filter { it.name != HELP_FLAG }
+            .sortedBy { it.name }
 
     /** Text of `--help`. */
     fun help(): String {
--- a/app/src/main/kotlin/boragelever/app/DevMesh.kt
+++ b/app/src/main/kotlin/boragelever/app/DevMesh.kt
@@ -125,7 +125,7 @@
     private fun changedAtMillis(): Long? =
         try {
             Files.list(folder).use { files ->
-                (files.toList() + folder).maxOf { Files.getLastModifiedTime(it).toMillis() }
+                files.toList().plusElement(folder).maxOf { Files.getLastModifiedTime(it).toMillis() }
             }
         } catch (e: IOException) {
             null
--- a/app/src/main/kotlin/boragelever/app/Flags.kt
+++ b/app/src/main/kotlin/boragelever/app/Flags.kt
@@ -11,7 +11,7 @@
 
 /** Flags of the commands that run until they are stopped. */
 internal open class ServiceFlags : Flags() {
-    @Option(name = "--log-format", metaVar = "text|json", usage = "Form of log lines, which go to standard error.")
+    @Option(name = "--log-format", metaVar = "FORMAT", usage = "Form of log lines on standard error: text or json.")
     var logFormat: String = "text"
 
     @Option(name = "--log-level", metaVar = "LEVEL", usage = "Least severe level logged: debug, info, warn or error.")
@@ -20,7 +20,7 @@
 
 /** Flags of the commands that print a result. */
 internal open class ResultFlags : Flags() {
-    @Option(name = "--output", metaVar = "text|json", usage = "Form of the result.")
+    @Option(name = "--output", metaVar = "FORMAT", usage = "Form of the result: text or json.")
     var output: String = "text"
 }
 
@@ -59,7 +59,7 @@
     var adminPort: String = "7003"
 
     @Option(name = "--seeds", metaVar = "HOST:PORT,...", usage = "Peer ports to contact when the store names no peer.")
-    var seeds: String = ""
+    var seeds: String? = null
 
     @Option(
         name = "--store-region",
--- a/app/src/main/kotlin/boragelever/app/Logging.kt
+++ b/app/src/main/kotlin/boragelever/app/Logging.kt
@@ -10,7 +10,7 @@
 import ch.qos.logback.core.encoder.Encoder
 import org.slf4j.LoggerFactory
 
-private const val TEXT_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %msg%n"
+private const val TEXT_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %thread %msg%n"
 
 /** Sends log lines to standard error in the form that [settings] ask for. */
 internal fun configureLogging(settings: LogSettings) {
--- /dev/null
+++ b/app/src/test/kotlin/boragelever/app/CommandsTest.kt
@@ -0,0 +1,96 @@
+package boragelever.app
+
+import boragelever.core.NetworkAddress
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.file.Path
+import kotlin.io.path.createDirectory
+import kotlin.io.path.writeText
+
+private const val WAIT_NANOS = 20_000_000_000L
+
+/** Guards against commands that end with the wrong exit code or hide what they found. */
+internal class CommandsTest {
+    @TempDir
+    lateinit var root: Path
+
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        quoteCharacter = '`',
+        value = [
+            "valid               | services: {a: {}} |                   | TEXT | DONE        | services 1, routes 0",
+            "valid as JSON       | services: {a: {}} |                   | JSON | DONE        | \"valid\": true",
+            "unknown key         | service: {a: {}}  |                   | TEXT | INPUT_WRONG | 10.yaml:1: service",
+            "unknown key, JSON   | service: {a: {}}  |                   | JSON | INPUT_WRONG | \"key\": \"service\"",
+            "no folder           |                   |                   | TEXT | INPUT_WRONG | is not a directory",
+            "no change           | services: {a: {}} | services: {a: {}} | TEXT | DONE        | no change",
+            "added               | services: {}      | services: {b: {}} | TEXT | DONE        | + services/b: {}",
+            "removed as JSON     | services: {a: {}} | {}                | JSON | DONE        | \"removed\"",
+            "invalid new folder  | services: {a: {}} | services: 1       | TEXT | INPUT_WRONG | 10.yaml:1: services",
+        ],
+    )
+    fun `a folder is judged`(
+        case: String,
+        first: String?,
+        second: String?,
+        output: OutputFormat,
+        exitCode: ExitCode,
+        part: String,
+    ) {
+        val from = folder("from", first)
+        val outcome =
+            if (second == null) {
+                checkFolder(Command.CheckFolder(from, output, printMerged = false))
+            } else {
+                diffFolders(Command.DiffFolders(from, folder("to", second), output))
+            }
+        assertEquals(exitCode, outcome.exitCode, case)
+        assertEquals(true, part in outcome.text, outcome.text)
+    }
+
+    @Test
+    fun `the status of a node that does not answer is a failed dependency`() {
+        val outcome = showStatus(Command.ShowStatus(NetworkAddress("127.0.0.1:1"), OutputFormat.TEXT))
+        assertEquals(ExitCode.DEPENDENCY_FAILED, outcome.exitCode)
+    }
+
+    @Test
+    fun `a development mesh carries calls on six nodes`() {
+        val folder = folder("dev", "services: {a: {}}\nroutes: {r: {path_prefix: /r, destinations: {a: 1}}}")
+        DevMesh(folder).use { mesh ->
+            mesh.start()
+            val version = await("in force") { mesh.newVersionInForce() }
+            assertEquals(6, version.nodes)
+            val line = mesh.callLines().single()
+            val address = URI(line.substringAfter("curl -i "))
+            val request = HttpRequest.newBuilder(address).build()
+            await("answered") {
+                val response = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString())
+                response.takeIf { it.statusCode() == 200 }
+            }
+        }
+    }
+
+    private fun <T : Any> await(what: String, probe: () -> T?): T {
+        val end = System.nanoTime() + WAIT_NANOS
+        while (System.nanoTime() < end) {
+            probe()?.let { return it }
+            Thread.sleep(20)
+        }
+        error("'$what' is not reached in time")
+    }
+
+    private fun folder(name: String, text: String?): Path {
+        val folder = root.resolve(name)
+        if (text != null) folder.createDirectory().resolve("10.yaml").writeText(text + "\n")
+        return folder
+    }
+}
--- a/node/src/main/kotlin/boragelever/node/NoticeLog.kt
+++ b/node/src/main/kotlin/boragelever/node/NoticeLog.kt
@@ -9,6 +9,8 @@
 internal sealed interface LogLine {
     val text: String
 
+    data class Debug(override val text: String) : LogLine
+
     data class Info(override val text: String) : LogLine
 
     data class Warning(override val text: String) : LogLine
@@ -17,6 +19,7 @@
 /** Writes [line] to this logger. */
 internal fun KLogger.write(line: LogLine) {
     when (line) {
+        is LogLine.Debug -> debug { line.text }
         is LogLine.Info -> info { line.text }
         is LogLine.Warning -> warn { line.text }
     }
@@ -38,13 +41,23 @@
         is Notice.StoreUnreachable -> LogLine.Warning("[store] the store cannot be reached: ${notice.failure.message}")
         is Notice.StoreReachable -> LogLine.Info("[store] the store answers")
         is Notice.StoreRefused -> LogLine.Warning("[store] the store refuses a command: ${notice.failure.message}")
-        is Notice.MemberChanged -> LogLine.Info("[peer] ${notice.node} is ${notice.status.word()}")
+        is Notice.MemberChanged -> memberLine(notice)
         is Notice.Quarantined ->
             LogLine.Warning("[proxy] ${notice.fingerprint} is refused after ${notice.deaths} deaths of upstreams")
         is Notice.Resumed -> LogLine.Warning("[node] the process was paused for ${notice.pausedMillis} ms")
         is Notice.Draining -> LogLine.Info("[node] no new work is taken")
     }
 
+private fun memberLine(notice: Notice.MemberChanged): LogLine {
+    val text = "[peer] ${notice.node} is ${notice.status.word()}"
+    return when (notice.status) {
+        // A node that joins learns of every member at once.
+        MemberStatus.ALIVE -> LogLine.Debug(text)
+        MemberStatus.SUSPECT -> LogLine.Info(text)
+        MemberStatus.DEAD -> LogLine.Warning(text)
+    }
+}
+
 internal fun MemberStatus.word(): String = name.lowercase()
 
 internal fun ConfigId.short(): String = "$version (${digest.value.take(SHORT_DIGEST_CHARS)})"
--- a/node/src/test/kotlin/boragelever/node/NodeTest.kt
+++ b/node/src/test/kotlin/boragelever/node/NodeTest.kt
@@ -22,6 +22,8 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.nio.file.Files
+import java.nio.file.Path
 import java.util.concurrent.CopyOnWriteArrayList
 
 private const val TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
@@ -100,6 +102,16 @@
         assertEquals(true, part in response.body(), response.body())
     }
 
+    @Test
+    fun `the operations page explains every metric`() {
+        nodes[0].start()
+        val page = Files.readString(Path.of("../docs/operations/status.md"))
+        val metrics = get(nodes[0].addresses.admin.value, "/metrics").body().lines()
+        val names = metrics.filter { it.startsWith("# TYPE ") }.map { it.split(' ')[2] }
+        assertEquals(emptyList<String>(), names.filterNot { "`$it`" in page })
+        assertEquals(true, names.size > 15)
+    }
+
     private fun settings(name: String) =
         NodeSettings(NodeId(name), RegionName("khomas"), ZoneName(name), seed = name.hashCode().toLong())
 
