Send fewer probes from each node as the mesh grows

Every joined node contacted a random address each 30 s on average, so the hellos of these probes grew with the number of nodes, half of them between regions. Their time now grows with the live members, so that all nodes together send about one in 2 s.

--- a/core/src/main/kotlin/boragelever/core/control/Join.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Join.kt
@@ -19,6 +19,13 @@
 /** Mean time between two contacts by which a joined node looks for nodes that none of its peers knows. */
 private const val PROBE_MILLIS = 30_000L
 
+/**
+ * Live members above which each of them probes less often, so that all together send about one probe in 2 s.
+ *
+ * At a fixed time for each node the probes of 1,000 nodes were most of the bytes between idle regions.
+ */
+private const val PROBING_MEMBERS = 16
+
 internal inline fun ControlState.updateJoin(change: JoinState.() -> JoinState): ControlState =
     updateMembers { copy(join = join.change()) }
 
@@ -61,7 +68,8 @@
 }
 
 private fun ControlState.probe(stamp: Stamp): Transition {
-    val waitMillis = stamp.spreadMillis("contact-wait", PROBE_MILLIS)
+    val liveMembers = members.table.regions.values.sumOf { it.ring.entries.size }
+    val waitMillis = stamp.spreadMillis("contact-wait", PROBE_MILLIS * maxOf(1, liveMembers / PROBING_MEMBERS))
     val address = contactAddresses.randomOrNull(stamp.random("contact-choice"))
     val next = updateJoin { copy(probed = address, nextContactMillis = stamp.nowMillis + waitMillis) }
     return if (address == null) next.unchanged() else next.with(Effect.ContactAddress(address))
