--- a/core/src/main/kotlin/boragelever/core/config/ConfigDocument.kt
+++ b/core/src/main/kotlin/boragelever/core/config/ConfigDocument.kt
@@ -3,6 +3,7 @@
 import boragelever.core.ConfigVersion
 import boragelever.core.Digest
 import boragelever.core.sha256
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Path of an entry in a document: section and name, for example `services/fitbook`. */
@@ -27,7 +28,10 @@
 
 /** Identity of an accepted configuration as exchanged between nodes. */
 @Serializable
-public data class ConfigId(public val version: ConfigVersion, public val digest: Digest)
+public data class ConfigId(
+    @SerialName("v") public val version: ConfigVersion,
+    @SerialName("d") public val digest: Digest,
+)
 
 /** What turns one document into another. */
 @Serializable
--- a/core/src/main/kotlin/boragelever/core/control/Member.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Member.kt
@@ -13,20 +13,20 @@
 /** What a node tells the others about itself and its upstreams. The higher (incarnation, sequence) wins. */
 @Serializable
 public data class MemberRecord(
-    public val node: NodeId,
-    public val incarnation: Incarnation,
-    public val sequence: Long,
-    public val region: RegionName,
-    public val zone: ZoneName,
+    @SerialName("n") public val node: NodeId,
+    @SerialName("i") public val incarnation: Incarnation,
+    @SerialName("q") public val sequence: Long,
+    @SerialName("r") public val region: RegionName,
+    @SerialName("z") public val zone: ZoneName,
     /** Where other nodes open control connections. */
-    public val peerAddress: NetworkAddress,
+    @SerialName("p") public val peerAddress: NetworkAddress,
     /** Where other nodes send calls for this node's upstreams. */
-    public val callAddress: NetworkAddress,
-    public val upstreams: List<UpstreamRecord> = emptyList(),
+    @SerialName("c") public val callAddress: NetworkAddress,
+    @SerialName("u") public val upstreams: List<UpstreamRecord> = emptyList(),
     /** True once the node is stopping; it takes no new work. */
-    public val leaving: Boolean = false,
+    @SerialName("l") public val leaving: Boolean = false,
     /** Regions that this node, as a relay, gets no answer from. */
-    public val unreachableRegions: Set<RegionName> = emptySet(),
+    @SerialName("x") public val unreachableRegions: Set<RegionName> = emptySet(),
 )
 
 /** One upstream beside a node. */
--- a/core/src/main/kotlin/boragelever/core/control/PeerMessage.kt
+++ b/core/src/main/kotlin/boragelever/core/control/PeerMessage.kt
@@ -10,85 +10,99 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** A message between nodes. New fields need a default, so that adjacent program versions understand each other. */
+/**
+ * A message between nodes. New fields need a default, so that adjacent program versions understand each other.
+ *
+ * Names on the wire are short, since a heartbeat is otherwise mostly names.
+ */
 @Serializable
 public sealed interface PeerMessage {
     /** Asks the receiver for a sign of life and tells what the sender holds. */
     @Serializable
     @SerialName("hb")
     public data class Heartbeat(
-        public val number: Long,
-        public val config: ConfigId?,
-        public val membersDigest: Long,
+        @SerialName("n") public val number: Long,
+        @SerialName("c") public val config: ConfigId?,
+        @SerialName("m") public val membersDigest: Long,
     ) : PeerMessage
 
     /** Answers a [Heartbeat] with the same [number]. */
     @Serializable
     @SerialName("hb-ack")
     public data class HeartbeatAck(
-        public val number: Long,
-        public val config: ConfigId?,
-        public val membersDigest: Long,
+        @SerialName("n") public val number: Long,
+        @SerialName("c") public val config: ConfigId?,
+        @SerialName("m") public val membersDigest: Long,
     ) : PeerMessage
 
     /** Carries a configuration and the part of the tree that the receiver forwards it to. */
     @Serializable
     @SerialName("cfg")
     public data class ConfigPush(
-        public val id: ConfigId,
-        public val body: ConfigBody,
-        public val scope: TreeScope,
+        @SerialName("i") public val id: ConfigId,
+        @SerialName("b") public val body: ConfigBody,
+        @SerialName("s") public val scope: TreeScope,
         /** Part of the zone's ring that [TreeScope.ZONE] covers, or `null` for the whole zone. */
-        public val range: RingRange? = null,
+        @SerialName("r") public val range: RingRange? = null,
     ) : PeerMessage
 
     /** Tells which configuration the sender holds after a push. */
     @Serializable
     @SerialName("cfg-ack")
-    public data class ConfigAck(public val held: ConfigId?) : PeerMessage
+    public data class ConfigAck(
+        @SerialName("h") public val held: ConfigId?,
+    ) : PeerMessage
 
     /** Asks for a newer configuration than [held]; answered by a [ConfigPush] with scope [TreeScope.SELF]. */
     @Serializable
     @SerialName("cfg-pull")
-    public data class ConfigPull(public val held: ConfigId?) : PeerMessage
+    public data class ConfigPull(
+        @SerialName("h") public val held: ConfigId?,
+    ) : PeerMessage
 
     /** Carries changed member records down the tree. */
     @Serializable
     @SerialName("mem")
     public data class MemberUpdate(
-        public val number: Long,
-        public val records: List<MemberStatusRecord>,
-        public val scope: TreeScope,
+        @SerialName("n") public val number: Long,
+        @SerialName("m") public val records: List<MemberStatusRecord>,
+        @SerialName("s") public val scope: TreeScope,
         /** Part of the zone's ring that [TreeScope.ZONE] covers, or `null` for the whole zone. */
-        public val range: RingRange? = null,
+        @SerialName("r") public val range: RingRange? = null,
         /** True if the message answers a [MemberSummary] or [MemberPull] and is not part of a broadcast. */
-        public val isAnswer: Boolean = false,
+        @SerialName("a") public val isAnswer: Boolean = false,
     ) : PeerMessage
 
     /** Acknowledges the [MemberUpdate] or [QuarantineUpdate] with the same [number]. */
     @Serializable
     @SerialName("mem-ack")
-    public data class MemberAck(public val number: Long) : PeerMessage
+    public data class MemberAck(
+        @SerialName("n") public val number: Long,
+    ) : PeerMessage
 
     /** Lists what the sender knows, so that the receiver finds the differences. */
     @Serializable
     @SerialName("mem-sum")
-    public data class MemberSummary(public val entries: List<MemberSummaryEntry>) : PeerMessage
+    public data class MemberSummary(
+        @SerialName("e") public val entries: List<MemberSummaryEntry>,
+    ) : PeerMessage
 
     /** Asks for the records of [nodes]; answered by a [MemberUpdate] with scope [TreeScope.SELF]. */
     @Serializable
     @SerialName("mem-pull")
-    public data class MemberPull(public val nodes: List<NodeId>) : PeerMessage
+    public data class MemberPull(
+        @SerialName("n") public val nodes: List<NodeId>,
+    ) : PeerMessage
 
     /** Tells that requests with a fingerprint crashed upstreams. */
     @Serializable
     @SerialName("quar")
     public data class QuarantineUpdate(
-        public val number: Long,
-        public val deaths: List<FingerprintDeath>,
-        public val scope: TreeScope,
+        @SerialName("n") public val number: Long,
+        @SerialName("d") public val deaths: List<FingerprintDeath>,
+        @SerialName("s") public val scope: TreeScope,
         /** Part of the zone's ring that [TreeScope.ZONE] covers, or `null` for the whole zone. */
-        public val range: RingRange? = null,
+        @SerialName("r") public val range: RingRange? = null,
     ) : PeerMessage
 }
 
@@ -139,15 +153,18 @@
 
 /** A record with its status. At the same record version the worse status wins. */
 @Serializable
-public data class MemberStatusRecord(public val record: MemberRecord, public val status: MemberStatus)
+public data class MemberStatusRecord(
+    @SerialName("r") public val record: MemberRecord,
+    @SerialName("s") public val status: MemberStatus,
+)
 
 /** What a node knows about one member, without the record itself. */
 @Serializable
 public data class MemberSummaryEntry(
-    public val node: NodeId,
-    public val incarnation: Incarnation,
-    public val sequence: Long,
-    public val status: MemberStatus,
+    @SerialName("n") public val node: NodeId,
+    @SerialName("i") public val incarnation: Incarnation,
+    @SerialName("q") public val sequence: Long,
+    @SerialName("s") public val status: MemberStatus,
 )
 
 /** One death of an upstream while it ran a request; counted once for each (fingerprint, node, number). */
--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -22,6 +22,7 @@
 import boragelever.node.proxy.ProxyServer
 import boragelever.node.proxy.ProxySettings
 import boragelever.node.proxy.TrafficObservation
+import boragelever.node.telemetry.ProxyTelemetry
 import boragelever.platform.ConfigFolder
 import boragelever.platform.Platform
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -85,8 +86,15 @@
             Random(settings.seed),
             dispatcher,
         )
+    private val tracing = Tracing(settings)
     private val proxy: ProxyServer =
-        ProxyServer(settings.proxySettings(), snapshots::get, store, ::observed)
+        ProxyServer(
+            settings.proxySettings(),
+            snapshots::get,
+            store,
+            ::observed,
+            ProxyTelemetry(tracing.openTelemetry, registry),
+        )
     private val admin = AdminServer(settings.adminHost, settings.adminPort, NodeAdminBackend())
     private val stopping = AtomicBoolean()
     private val closed = AtomicBoolean()
@@ -173,6 +181,7 @@
         transport.close()
         runBlocking { proxy.close() }
         admin.close()
+        tracing.close()
         scope.cancel()
         dispatcher.close()
         exited.countDown()
--- a/wire/src/test/kotlin/boragelever/wire/PeerFrameTest.kt
+++ b/wire/src/test/kotlin/boragelever/wire/PeerFrameTest.kt
@@ -103,9 +103,9 @@
 
     @Serializable
     private class NewerHeartbeat(
-        val number: Long,
-        val added: List<Int>,
-        val config: ConfigId?,
-        val membersDigest: Long,
+        @SerialName("n") val number: Long,
+        @SerialName("added") val added: List<Int>,
+        @SerialName("c") val config: ConfigId?,
+        @SerialName("m") val membersDigest: Long,
     )
 }
