Keep recording through store outages; bound the memory of unused connections

An answer that could not be recorded at once left its key with outcome unknown for good; recording now repeats for about three minutes.

--- a/node/src/main/kotlin/boragelever/node/proxy/CallRunner.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/CallRunner.kt
@@ -31,6 +31,9 @@
 private const val RELEASE_WAIT_MILLIS = 500L
 private const val CONFLICT = 409
 
+/** Time after which it is noticed that a caller is gone. */
+private const val CALLER_WATCH_DELAY_MILLIS = 5L
+
 /** Carries one call: reduces its events and runs the effects. */
 internal class CallRunner(private val context: TrafficContext, private val call: IncomingCall) {
     private val events = Channel<CallEvent>(Channel.UNLIMITED)
@@ -120,6 +123,8 @@
         // A streamed body is read from the same connection, and its end shows there.
         if (call.body is CallBody.Streamed) return
         scope.launch {
+            // Most calls end sooner, and are spared the cost of registering with the selector.
+            delay(CALLER_WATCH_DELAY_MILLIS)
             val open = try {
                 call.input.awaitByte()
             } catch (failure: IOException) {
--- a/node/src/main/kotlin/boragelever/node/proxy/ClaimStore.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ClaimStore.kt
@@ -21,6 +21,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import java.util.UUID
 
 private val log = KotlinLogging.logger {}
@@ -31,8 +32,9 @@
 /** Operations that wait for the store; beyond it claims fail at once, which refuses the calls as not run. */
 private const val MAX_WAITING = 1_024
 
-/** Attempts to write an answer or to release a claim, which are safe to repeat since they name a revision. */
-private const val MAX_UPDATE_ATTEMPTS = 5
+/** Attempts to record an answer or to release a claim; with the doubling delay they span about three minutes. */
+private const val MAX_UPDATE_ATTEMPTS = 10
+private const val FIRST_UPDATE_DELAY_MILLIS = 200L
 
 /** What an operation on a claim row came to. */
 private sealed interface ClaimResult {
@@ -111,21 +113,24 @@
 
     /** Deletes a claim whose call provably did not run. */
     suspend fun release(claim: HeldClaim) {
-        update(claim, RowWrite.Delete(claim.row))
+        persist(claim) { update(claim, RowWrite.Delete(claim.row)) }
     }
 
     /** Stores the answer of a claimed call, its body first, so that a recorded answer always has its body. */
     suspend fun record(claim: HeldClaim, answer: KeptAnswer) {
-        val body = answer.body?.takeIf { it.isNotEmpty() }?.let { bytes ->
-            val key = ObjectKey("answer/" + claim.row.value.substringAfter('/'))
-            val written = platform.execute(StoreCommand.PutObject(key, ByteBlock(bytes)))
-            key.takeIf { written is StoreAnswer.ObjectWritten }
-        }
-        val recorded = RecordedAnswer(answer.statusCode, answer.contentType, body, answer.sizeBytes)
+        val bytes = answer.body?.takeIf { it.isNotEmpty() }
+        val key = bytes?.let { ObjectKey("answer/" + claim.row.value.substringAfter('/')) }
+        val recorded = RecordedAnswer(answer.statusCode, answer.contentType, key, answer.sizeBytes)
         val value = RowValue.Claim(claim.requestDigest, node, claim.atEpochMillis, recorded)
-        update(claim, RowWrite.Put(claim.row, value))
+        persist(claim) {
+            val stored = key?.let { putBody(it, bytes) } ?: true
+            stored && update(claim, RowWrite.Put(claim.row, value))
+        }
     }
 
+    private suspend fun putBody(key: ObjectKey, bytes: ByteArray): Boolean =
+        platform.execute(StoreCommand.PutObject(key, ByteBlock(bytes))) is StoreAnswer.ObjectWritten
+
     /** Reads the body of a recorded answer, or returns `null` if it cannot be read now. */
     suspend fun readBody(key: ObjectKey): ByteArray? =
         when (val answer = platform.execute(StoreCommand.GetObject(key))) {
@@ -133,13 +138,18 @@
             else -> null
         }
 
-    private suspend fun update(claim: HeldClaim, write: RowWrite) {
-        repeat(MAX_UPDATE_ATTEMPTS) {
-            if (submit(RowCondition.RevisionIs(claim.row, claim.revision), write) != ClaimResult.Failed) return
+    /** Repeats [attempt] through an outage of some minutes; operations name a revision, so repeating them is safe. */
+    private suspend fun persist(claim: HeldClaim, attempt: suspend () -> Boolean) {
+        repeat(MAX_UPDATE_ATTEMPTS) { number ->
+            if (attempt()) return
+            delay(FIRST_UPDATE_DELAY_MILLIS shl number)
         }
         log.warn { "calls: claim ${claim.row} could not be updated; a repeat is answered with outcome unknown" }
     }
 
+    private suspend fun update(claim: HeldClaim, write: RowWrite): Boolean =
+        submit(RowCondition.RevisionIs(claim.row, claim.revision), write) != ClaimResult.Failed
+
     private suspend fun submit(condition: RowCondition, write: RowWrite): ClaimResult {
         val operation = ClaimOperation(condition, write)
         if (waiting.trySend(operation).isFailure) return ClaimResult.Failed
--- a/node/src/main/kotlin/boragelever/node/proxy/ConnectionLoop.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ConnectionLoop.kt
@@ -31,8 +31,10 @@
         }
     }
 
-    private suspend fun awaitRequest(): Boolean =
-        withTimeoutOrNull(settings.callerIdleMillis) { input.awaitByte() } ?: false
+    private suspend fun awaitRequest(): Boolean {
+        input.trim()
+        return withTimeoutOrNull(settings.callerIdleMillis) { input.awaitByte() } ?: false
+    }
 
     /** Carries one call; returns true if the connection can be used for another. */
     private suspend fun serveOne(): Boolean {
--- a/node/src/main/kotlin/boragelever/node/proxy/ConnectionPool.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ConnectionPool.kt
@@ -68,6 +68,7 @@
     /** Takes a connection back after a whole answer. */
     fun giveBack(connection: PooledConnection) {
         connection.idleSinceMillis = clock.nowMillis()
+        connection.input.trim()
         idle.compute(connection.target) { _, present ->
             val queue = present ?: ConcurrentLinkedDeque()
             if (queue.size >= settings.maxPooledPerTarget) connection.socket.close() else queue.addFirst(connection)
--- a/node/src/main/kotlin/boragelever/node/proxy/HttpMessage.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/HttpMessage.kt
@@ -52,7 +52,10 @@
             if (!it.version.contentEquals("HTTP/1.1")) {
                 throw MalformedMessage(VERSION_NOT_SUPPORTED, "only HTTP/1.1 is served")
             }
-            RequestHead(it.method.value, it.uri.toString(), it.headers.copied())
+            val headers = it.headers.copied()
+            // With two hosts, this node could choose the route by one and the upstream read the other.
+            if (headers.all("Host").size != 1) throw MalformedMessage(BAD_REQUEST, "exactly one Host is needed")
+            RequestHead(it.method.value, it.uri.toString(), headers)
         }
     }
 }
--- a/node/src/main/kotlin/boragelever/node/proxy/IncomingCall.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/IncomingCall.kt
@@ -29,7 +29,7 @@
         method = head.method,
         target = head.target,
         host = head.headers["Host"]?.let { hostWithoutPort(it) },
-        key = head.headers[IDEMPOTENCY_KEY]?.let { IdempotencyKey(it) },
+        key = head.headers[IDEMPOTENCY_KEY]?.takeIf { it.isNotBlank() }?.let { IdempotencyKey(it) },
         body = body.facts(),
         // A caller that is itself an upstream hands on what its own call allows; it can only shorten its call.
         attemptsLeft = head.headers[ATTEMPTS_LEFT]?.toIntOrNull(),
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
@@ -124,8 +124,11 @@
 
     private fun serve(socket: TrafficSocket, kind: HopKind) {
         val open = connections.getValue(kind)
-        val limit = context.snapshots.current()?.limits ?: LimitsConfig()
-        if (open.incrementAndGet() > limit.maxConnections) {
+        val limit = when (kind) {
+            HopKind.CALLING -> (context.snapshots.current()?.limits ?: LimitsConfig()).maxConnections
+            HopKind.LAST -> settings.maxHopConnections
+        }
+        if (open.incrementAndGet() > limit) {
             open.decrementAndGet()
             // A refusal in HTTP would need the request to be read; a reset costs nothing and the call did not run.
             socket.reset()
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxySettings.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxySettings.kt
@@ -25,6 +25,12 @@
     public val connectionMaxAgeMillis: Long = 300_000,
     /** Largest number of unused connections kept for each node or upstream. */
     public val maxPooledPerTarget: Int = 32,
+    /**
+     * Largest number of connections from other nodes.
+     *
+     * Each node of a large fleet may hold a few; the limit that operators set concerns connections of callers.
+     */
+    public val maxHopConnections: Int = 4_096,
     /** Request bodies up to this size are held for digests and retries. */
     public val heldBodyBytes: Int = 65_536,
 )
--- a/node/src/main/kotlin/boragelever/node/proxy/SocketInput.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/SocketInput.kt
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer
 
 private const val BUFFER_BYTES = 8_192
+private val NO_BUFFER: ByteBuffer = ByteBuffer.allocate(0)
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 
@@ -16,7 +17,7 @@
 
 /** Buffered reading from a socket; holds at most [BUFFER_BYTES] ahead of the reader. */
 internal class SocketInput(private val socket: TrafficSocket) {
-    private val buffer: ByteBuffer = ByteBuffer.allocate(BUFFER_BYTES).flip()
+    private var buffer: ByteBuffer = NO_BUFFER
 
     /** True if bytes are at hand without waiting. */
     val hasBuffered: Boolean get() = buffer.hasRemaining()
@@ -24,6 +25,10 @@
     /** Waits for a byte; false if the connection ended. */
     suspend fun awaitByte(): Boolean {
         if (buffer.hasRemaining()) return true
+        if (buffer === NO_BUFFER) {
+            socket.awaitReadable()
+            buffer = ByteBuffer.allocate(BUFFER_BYTES)
+        }
         buffer.clear()
         val count = try {
             socket.read(buffer)
@@ -33,18 +38,18 @@
         return count > 0
     }
 
-    /** Looks without waiting whether the connection is open and silent, as an unused connection must be. */
-    fun isSilent(): Boolean {
-        if (buffer.hasRemaining()) return false
-        buffer.clear()
-        return try {
-            socket.readNow(buffer) == 0
+    /** Gives the buffer up if it is empty, so that an unused connection costs little memory. */
+    fun trim() {
+        if (!buffer.hasRemaining()) buffer = NO_BUFFER
+    }
+
+    /** Looks without waiting whether the connection is open and silent; one that is not must be closed. */
+    fun isSilent(): Boolean =
+        try {
+            !buffer.hasRemaining() && socket.readNow(ByteBuffer.allocate(1)) == 0
         } catch (failure: IOException) {
             false
-        } finally {
-            buffer.flip()
         }
-    }
 
     /** Reads at least one byte, at most [length]; throws [ConnectionEnded] if there is none. */
     suspend fun read(target: ByteArray, offset: Int, length: Int): Int {
--- a/node/src/main/kotlin/boragelever/node/proxy/TrafficSocket.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/TrafficSocket.kt
@@ -70,6 +70,9 @@
         }
     }
 
+    /** Waits until something can be read or the other side has ended the connection. */
+    suspend fun awaitReadable() = selector.await(this, SelectInterest.READ)
+
     /** Reads what has arrived without waiting: 0 for nothing, -1 if the other side has ended the connection. */
     fun readNow(buffer: ByteBuffer): Int = channel.read(buffer)
 
--- a/node/src/test/kotlin/boragelever/node/proxy/ProxyServerTest.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/ProxyServerTest.kt
@@ -268,6 +268,7 @@
                 "two lengths smuggle a request",
                 "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
             ),
+            refused("two hosts lead to two routes", "Host: other\r\n\r\n"),
             refused("a folded header smuggles a value", "A: b\r\n c\r\n\r\n"),
             refused("a bad chunk smuggles a request", "Transfer-Encoding: chunked\r\n\r\n+4\r\nbook\r\n0\r\n\r\n"),
             refused(
