--- a/app/src/main/kotlin/boragelever/app/Logging.kt
+++ b/app/src/main/kotlin/boragelever/app/Logging.kt
@@ -9,6 +9,8 @@
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.encoder.Encoder
 import org.slf4j.LoggerFactory
+import java.util.logging.Handler
+import java.util.logging.LogRecord
 
 private const val TEXT_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %thread %msg%n"
 
@@ -32,6 +34,28 @@
             LogLevel.WARN -> Level.WARN
             LogLevel.ERROR -> Level.ERROR
         }
+    ExporterLog.install()
+}
+
+/** Passes on what the span exporter logs, without its stack traces. */
+private object ExporterLog : Handler() {
+    private val log = LoggerFactory.getLogger("boragelever.traces")
+
+    /** The JDK keeps loggers by weak references only. */
+    private val source = java.util.logging.Logger.getLogger("io.opentelemetry")
+
+    fun install() {
+        source.useParentHandlers = false
+        if (this !in source.handlers) source.addHandler(this)
+    }
+
+    override fun publish(record: LogRecord) {
+        log.warn("[node] spans: {}", record.message)
+    }
+
+    override fun flush() = Unit
+
+    override fun close() = Unit
 }
 
 private fun encoder(format: OutputFormat, context: LoggerContext): Encoder<ILoggingEvent> =
--- a/app/src/main/kotlin/boragelever/app/ServiceCommands.kt
+++ b/app/src/main/kotlin/boragelever/app/ServiceCommands.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.NetworkAddress
 import boragelever.node.Node
+import boragelever.node.requireFreePort
 import boragelever.platform.ConfigFolder
 import boragelever.platform.HttpPlatform
 import boragelever.platform.Platform
@@ -29,6 +30,7 @@
 internal fun runPlatform(command: Command.RunPlatform, print: (String) -> Unit): CommandOutcome {
     configureLogging(command.logging)
     return opening {
+        requireFree(command.listen)
         PlatformStandIn(command.listen.port, command.listen.host).use { platform ->
             print("platform ${platform.address}")
             Termination.onSignal(platform::close)
@@ -44,6 +46,7 @@
     val settings =
         UpstreamSettings(record.service, record.instance, slots = record.slots, connections = record.connections)
     return opening {
+        requireFree(record.address)
         UpstreamStandIn(settings, command.admin, record.address.host, record.address.port).use { upstream ->
             print("upstream ${upstream.address}")
             Termination.onSignal(upstream::close)
@@ -61,6 +64,14 @@
         CommandOutcome(ExitCode.DEPENDENCY_FAILED, "boragelever: ${e.message}")
     }
 
+private fun requireFree(address: NetworkAddress) {
+    try {
+        requireFreePort(address.host, address.port)
+    } catch (e: IOException) {
+        throw IOException("$address cannot be opened: ${e.message}; give --listen a free port", e)
+    }
+}
+
 internal val NetworkAddress.host: String get() = value.substringBeforeLast(':').removeSurrounding("[", "]")
 
 internal val NetworkAddress.port: Int get() = value.substringAfterLast(':').toInt()
--- a/app/src/test/kotlin/boragelever/app/CommandsTest.kt
+++ b/app/src/test/kotlin/boragelever/app/CommandsTest.kt
@@ -1,11 +1,17 @@
 package boragelever.app
 
 import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.ZoneName
+import boragelever.node.NodeSettings
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -62,6 +68,27 @@
         assertEquals(ExitCode.DEPENDENCY_FAILED, outcome.exitCode)
     }
 
+    @ParameterizedTest
+    @CsvSource("proxy", "admin", "platform")
+    fun `a taken port is a failed dependency`(port: String) {
+        val logging = LogSettings(OutputFormat.TEXT, LogLevel.ERROR)
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { taken ->
+            val address = NetworkAddress("127.0.0.1:${taken.localPort}")
+            val settings = NodeSettings(NodeId("n"), RegionName("r"), ZoneName("z"), seed = 1)
+            val outcome =
+                when (port) {
+                    "proxy" -> runNode(nodeCommand(settings.copy(proxyPort = address.port), logging))
+                    "admin" -> runNode(nodeCommand(settings.copy(adminPort = address.port), logging))
+                    else -> runPlatform(Command.RunPlatform(address, forSeconds = 1, logging)) {}
+                }
+            assertEquals(ExitCode.DEPENDENCY_FAILED, outcome.exitCode)
+            assertEquals(true, address.port.toString() in outcome.text, outcome.text)
+        }
+    }
+
+    private fun nodeCommand(settings: NodeSettings, logging: LogSettings) =
+        Command.RunNode(settings, NetworkAddress("127.0.0.1:1"), FolderSource.Directory(root), logging)
+
     @Test
     fun `a development mesh carries calls on six nodes`() {
         val folder = folder("dev", "services: {a: {}}\nroutes: {r: {path_prefix: /r, destinations: {a: 1}}}")
--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -143,7 +143,10 @@
             val identity = identity(addressOf(peerPort), addressOf(proxyPorts.hop))
             control = ControlLoop(ControlState(identity), clock, settings.seed, effectRunner()::start)
             registerNodeMetrics(registry, metricSources())
-            val adminPort = opening("admin", settings.adminPort) { admin.start() }
+            val adminPort = opening("admin", settings.adminPort) {
+                requireFreePort(settings.adminHost, settings.adminPort)
+                admin.start()
+            }
             addresses =
                 NodeAddresses(
                     addressOf(proxyPorts.proxy),
--- a/node/src/main/kotlin/boragelever/node/admin/AdminServer.kt
+++ b/node/src/main/kotlin/boragelever/node/admin/AdminServer.kt
@@ -67,15 +67,20 @@
             }
         }
 
+    @Volatile
+    private var started = false
+
     /** Opens the port and returns its number. Fails with an exception if the port is taken. */
     public suspend fun start(): Int {
         server.startSuspend(wait = false)
+        started = true
         return server.engine.resolvedConnectors().first().port
     }
 
     /** Frees the port. */
     public fun close() {
-        server.stop(STOP_GRACE_MILLIS, STOP_TIMEOUT_MILLIS)
+        // Ktor opens the port of a server that is stopped before it was started.
+        if (started) server.stop(STOP_GRACE_MILLIS, STOP_TIMEOUT_MILLIS)
     }
 
     private fun Routing.upstreamRoutes() {
