--- a/core/src/main/kotlin/boragelever/core/control/AntiEntropy.kt
+++ b/core/src/main/kotlin/boragelever/core/control/AntiEntropy.kt
@@ -12,12 +12,18 @@
 /** Wait before a pull that was not answered is repeated. */
 private const val REPEAT_PULL_MILLIS = 500L
 
-/** Time without contact to peers, or without any configuration, after which a node reads the store's head itself. */
+/** Time without contact to peers after which a node reads the store's head itself. */
 internal const val ISOLATED_AFTER_MILLIS: Long = 5_000
 
+/** Time after the start in which peers can bring a configuration; then the store is the second source. */
+private const val EMPTY_AFTER_MILLIS = 2_000L
+
 /** Bound of the random wait before a read of the head, and the shortest time between two of them. */
 private const val HEAD_READ_MILLIS = 2_500L
 
+/** Lengthens the wait of a node that has peers but no configuration: the first one published is pushed to it. */
+private const val EMPTY_FACTOR = 4
+
 /** Interval of reads in the polling profile. */
 private const val POLL_MILLIS = 1_000L
 
@@ -91,16 +97,23 @@
         isPolling -> scheduleHeadRead(nowMillis + POLL_MILLIS).readHead()
         else -> {
             val waitMillis = HEAD_READ_MILLIS + stamp.jitterMillis("head-read", HEAD_READ_MILLIS)
-            scheduleHeadRead(nowMillis + waitMillis).readHead()
+            val factor = if (needsHeadSoon(nowMillis)) 1 else EMPTY_FACTOR
+            scheduleHeadRead(nowMillis + waitMillis * factor).readHead()
         }
     }
 }
 
+/** True if this node is a relay that gets no answer from another region, where the publisher may be. */
+internal val ControlState.isCutOffRelay: Boolean get() = members.own?.unreachableRegions.orEmpty().isNotEmpty()
+
 private fun ControlState.needsHead(nowMillis: Long): Boolean {
+    val isEmpty = applied == null && nowMillis - dissemination.startedMillis >= EMPTY_AFTER_MILLIS
+    return isEmpty || needsHeadSoon(nowMillis)
+}
+
+private fun ControlState.needsHeadSoon(nowMillis: Long): Boolean {
     val contactMillis = members.lastContactMillis ?: dissemination.startedMillis
-    val isIsolated = nowMillis - contactMillis >= ISOLATED_AFTER_MILLIS
-    val isEmpty = applied == null && nowMillis - dissemination.startedMillis >= ISOLATED_AFTER_MILLIS
-    return isIsolated || isEmpty
+    return nowMillis - contactMillis >= ISOLATED_AFTER_MILLIS || isCutOffRelay
 }
 
 private fun ControlState.scheduleHeadRead(nextMillis: Long?): ControlState =
--- a/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.Incarnation
 import boragelever.core.NodeId
+import kotlinx.collections.immutable.PersistentMap
 
 /** Changes what this node tells of itself and broadcasts it under the next sequence number. */
 internal fun ControlState.publishOwn(
@@ -23,6 +24,13 @@
         copy(incarnation = Incarnation(maxOf(incarnation, atLeast).value + 1))
     }
 
+/** Tells all members that this node ends, so that nobody has to find out by its silence. */
+internal fun ControlState.announceEnd(nowMillis: Long): Transition {
+    val own = members.own ?: return unchanged()
+    val end = MemberStatusRecord(own, MemberStatus.DEAD)
+    return broadcast(listOf(end), TreePart(TreeScope.ALL), nowMillis, urgent = true)
+}
+
 /** Result of merging records: the transition and those that brought something new. */
 internal data class Merged(val transition: Transition, val news: List<MemberStatusRecord>)
 
@@ -45,7 +53,7 @@
     val own = members.own ?: return unchanged()
     val order = update.record.version.compareTo(own.version)
     val isWrong = order > 0 || (order == 0 && update.status != MemberStatus.ALIVE)
-    return if (isWrong) raiseIncarnation(update.record.incarnation, nowMillis) else unchanged()
+    return if (isWrong && !hasDeparted) raiseIncarnation(update.record.incarnation, nowMillis) else unchanged()
 }
 
 private fun ControlState.mergeRecord(update: MemberStatusRecord, nowMillis: Long): Transition? {
@@ -85,8 +93,11 @@
     }
 }
 
-private fun kotlinx.collections.immutable.PersistentMap<NodeId, Watch>.refuted(node: NodeId, nowMillis: Long) =
-    this[node]?.let { put(node, it.copy(heardMillis = nowMillis, refutations = it.refutations + 1)) } ?: this
+private fun PersistentMap<NodeId, Watch>.refuted(node: NodeId, nowMillis: Long): PersistentMap<NodeId, Watch> {
+    val watch = this[node] ?: return this
+    val count = watch.recentRefutations(nowMillis) + 1
+    return put(node, watch.copy(heardMillis = nowMillis, refutations = count, refutedMillis = nowMillis))
+}
 
 /** Sets the status that this node itself found for [node] and broadcasts it if [announce] is set. */
 internal fun ControlState.judge(node: NodeId, status: MemberStatus, nowMillis: Long, announce: Boolean): Transition {
--- a/core/src/test/kotlin/boragelever/core/control/PublishScenarios.kt
+++ b/core/src/test/kotlin/boragelever/core/control/PublishScenarios.kt
@@ -103,6 +103,7 @@
     folder[A] = "a: 2"
     run(millis)
     check(state(nodes.first()).applied?.id?.version?.value == 1L) { "the applied version did not stay" }
+    check(state(nodes.first()).lease !is LeaseState.Held) { "the lease outlived its duration" }
     note("the store is back")
     handling = { _, _ -> Handling.EXECUTE }
     runUntil("publish after the outage", limitMillis = 12_000) { published == mapOf("a" to "2") }
@@ -174,6 +175,49 @@
     check(holder to Notice.PublishOverruled(Epoch(1)) in notices) { "the first holder was not overruled" }
 }
 
+/** The other node holds the lease but has not published: only the condition on the lease row stops the first one. */
+private fun Session.takeoverWithoutPublish() {
+    val holdScans: Session.(NodeId) -> Unit = { holder ->
+        handling = { node, effect ->
+            if (node != holder && effect is Effect.ListFolder) Handling.HOLD else Handling.EXECUTE
+        }
+    }
+    pausedPublisher(holdScans) { check(head?.version?.value == 1L) { "the other node has published" } }
+}
+
+private fun Session.manyVersions() {
+    publishFirst()
+    for (edit in 2..14) {
+        folder[A] = "a: $edit"
+        runUntil("version $edit") { head?.version?.value == edit.toLong() }
+    }
+    run(1_000)
+    val kept = store.documents.keys.mapNotNull { StoreKeys.documentVersion(it)?.value }
+    check(kept.sorted() == (5L..14L).toList()) { "kept documents: $kept" }
+}
+
+/** The holder stops; the other node publishes well before the lease would have expired. */
+private fun Session.orderlyStop() {
+    publishFirst()
+    val holder = checkNotNull(lease).holder
+    run(3_000)
+    send(holder, Event.StopRequested(stamp(holder)))
+    folder[A] = "a: 2"
+    runUntil("publish by the other node", limitMillis = 5_000) { published == mapOf("a" to "2") }
+    check(lease?.holder != holder)
+}
+
+/** A program of a newer version left a configuration that this one cannot apply. */
+private fun Session.refusedVersion() {
+    publishFirst()
+    folder[B] = "future: 1"
+    run(2_000)
+    check(notices.count { it.second is Notice.ConfigRefused } == 1) { "the refusal was not reported once" }
+    check(state(nodes.first()).applied?.id?.version?.value == 1L) { "a refused configuration was applied" }
+    folder.remove(B)
+    run(2_000)
+}
+
 internal val PUBLISH_SCENARIOS: List<Scenario> =
     listOf(
         Scenario("normal-change", "a lost edit", 2, mapOf("a" to "1", "b" to "1"), golden = true) {
@@ -257,6 +301,30 @@
         ) {
             batchedEdits()
         },
+        Scenario(
+            "takeover-without-publish",
+            "a publish by a node that lost the lease",
+            2,
+            mapOf("a" to "3"),
+            nodes = listOf("n1", "n2"),
+            script = Session::takeoverWithoutPublish,
+        ),
+        Scenario("many-versions", "documents that pile up", 14, mapOf("a" to "14"), script = Session::manyVersions),
+        Scenario(
+            "orderly-stop",
+            "a lease that stays with a node that is gone",
+            2,
+            mapOf("a" to "2"),
+            nodes = listOf("n1", "n2"),
+            script = Session::orderlyStop,
+        ),
+        Scenario(
+            "refused-version",
+            "a version that is applied in part",
+            3,
+            mapOf("a" to "1"),
+            script = Session::refusedVersion,
+        ),
         Scenario("store-forgets-head", "a version number that is given out twice", 2, mapOf("a" to "1")) {
             publishFirst()
             store = store.copy(rows = emptyMap())
--- a/standin/src/test/kotlin/boragelever/standin/HttpPlatformTest.kt
+++ b/standin/src/test/kotlin/boragelever/standin/HttpPlatformTest.kt
@@ -34,12 +34,13 @@
 import org.junit.jupiter.params.provider.MethodSource
 import java.nio.file.Path
 import kotlin.io.path.createDirectory
+import kotlin.io.path.writeBytes
 import kotlin.io.path.writeText
 
 /** Guards against commands that change in transit and against failures that are reported as the wrong kind. */
 class HttpPlatformTest {
     private val standIn = PlatformStandIn()
-    private val platform = HttpPlatform(standIn.address) { requestTimeoutMillis = 400 }
+    private val platform = HttpPlatform(standIn.address)
 
     @AfterEach
     fun close() {
@@ -64,8 +65,10 @@
     fun `a fault is told as the kind that the writer needs`(case: FaultCase) =
         runBlocking {
             standIn.submit(PlatformRequest.SetFaults(case.faults))
-            assertEquals(case.onRead, failureKind(platform.execute(READ)), "read")
-            assertEquals(case.onWrite, failureKind(platform.execute(INSERT)), "write")
+            HttpPlatform(standIn.address) { requestTimeoutMillis = case.timeoutMillis }.use { client ->
+                assertEquals(case.onRead, failureKind(client.execute(READ)), "read")
+                assertEquals(case.onWrite, failureKind(client.execute(INSERT)), "write")
+            }
             assertEquals(case.takesEffect, standIn.current.rows.isNotEmpty(), "effect of the write")
         }
 
@@ -110,12 +113,40 @@
             Unit
         }
 
+    @Test
+    fun `a file that is not text is refused in place of being changed`(
+        @TempDir directory: Path,
+    ) =
+        runBlocking {
+            val latin1 = byteArrayOf('a'.code.toByte(), 0xE9.toByte())
+            directory.resolve("a.yaml").writeBytes(latin1)
+            platform.execute(StoreCommand.PutObject(ObjectKey("folder/a.yaml"), ByteBlock(latin1)))
+            for (folder in listOf(ConfigFolder.LocalDirectory(directory), ConfigFolder.ObjectStorePrefix(platform))) {
+                val answer = folder.read(listOf(FileName("a.yaml")))
+                assertTrue("'a.yaml' is not UTF-8" in assertInstanceOf(FolderAnswer.Failed::class.java, answer).message)
+            }
+        }
+
+    @Test
+    fun `a folder with more files than may be read in a second is read in steps`() =
+        runBlocking {
+            val names = List(30) { FileName("${it + 10}.yaml") }
+            names.forEach { platform.execute(StoreCommand.PutObject(ObjectKey("folder/$it"), bytes("a: $it"))) }
+            HttpPlatform(standIn.address) { maxReadsPerSecond = 3.0 }.use { limited ->
+                val read = ConfigFolder.ObjectStorePrefix(limited).read(names)
+                val files = assertInstanceOf(FolderAnswer.Read::class.java, read).files
+                assertEquals(names.take(files.size), files.map { it.name })
+                assertTrue(files.size < names.size)
+            }
+        }
+
     data class FaultCase(
         val name: String,
         val faults: PlatformFaults,
         val onRead: String,
         val onWrite: String,
         val takesEffect: Boolean,
+        val timeoutMillis: Long = 10_000,
     ) {
         override fun toString(): String = name
     }
@@ -184,7 +215,7 @@
                 FaultCase("none", PlatformFaults(), "none", "none", takesEffect = true),
                 FaultCase("down", PlatformFaults(down = true), UNAVAILABLE, LOST, takesEffect = false),
                 FaultCase("refuse", PlatformFaults(refuse = true), UNAVAILABLE, UNAVAILABLE, takesEffect = false),
-                FaultCase("slow", PlatformFaults(delayMillis = 900), UNAVAILABLE, LOST, takesEffect = true),
+                FaultCase("slow", PlatformFaults(delayMillis = 60_000), UNAVAILABLE, LOST, takesEffect = true, 1_000),
                 FaultCase("lose", PlatformFaults(lostAnswersPercent = 100), "none", LOST, takesEffect = true),
             )
     }
