--- a/standin/src/main/kotlin/boragelever/standin/UpstreamReducer.kt
+++ b/standin/src/main/kotlin/boragelever/standin/UpstreamReducer.kt
@@ -92,6 +92,8 @@
     public val range: String? = null,
     /** Value of the `If-Range` header. */
     public val ifRange: String? = null,
+    /** Value of the `X-Request-Id` header. */
+    public val requestId: String? = null,
 )
 
 /** Something that happens to an upstream stand-in. */
--- a/standin/src/main/kotlin/boragelever/standin/UpstreamStandIn.kt
+++ b/standin/src/main/kotlin/boragelever/standin/UpstreamStandIn.kt
@@ -39,19 +39,22 @@
  * Starts an upstream stand-in on [port] of [host]; port 0 takes a free one.
  *
  * @param admin admin address of the co-located node, or `null` to announce to nobody.
+ * @param onRun called with each request before it runs, on the thread that runs it.
  */
 public fun UpstreamStandIn(
     settings: UpstreamSettings,
     admin: NetworkAddress? = null,
     host: String = "127.0.0.1",
     port: Int = 0,
-): UpstreamStandIn = UpstreamStandIn(settings, admin, host to port)
+    onRun: (UpstreamRequest) -> Unit = {},
+): UpstreamStandIn = UpstreamStandIn(settings, admin, host to port, onRun)
 
 /** Stand-in for an upstream: an HTTP server that counts its runs and can be made to fail. */
 public class UpstreamStandIn internal constructor(
     private val settings: UpstreamSettings,
     admin: NetworkAddress?,
     listen: Pair<String, Int>,
+    private val onRun: (UpstreamRequest) -> Unit,
 ) : AutoCloseable {
     private val initial = if (settings.coldStartMillis > 0) UpstreamState.STARTING else UpstreamState.SERVING
     private val state = AtomicReference(UpstreamStandInState(settings, announced = initial))
@@ -160,7 +163,10 @@
 
     private suspend fun RoutingCall.serve() {
         receiveChannel().discard()
-        when (val reply = submit(UpstreamEvent.Arrived(toRequest(), System.nanoTime() / NANOS_PER_MILLI))) {
+        val request = toRequest()
+        val reply = submit(UpstreamEvent.Arrived(request, System.nanoTime() / NANOS_PER_MILLI))
+        if (reply is UpstreamReply.Run || reply is UpstreamReply.Hang || reply is UpstreamReply.Crash) onRun(request)
+        when (reply) {
             is UpstreamReply.Run -> untilEnded { send(reply) }
             is UpstreamReply.Hang -> untilEnded { awaitCancellation() }
             is UpstreamReply.Shed -> respondText("no slot is free", status = HttpStatusCode.ServiceUnavailable)
@@ -206,6 +212,7 @@
             crashes = CRASH_HEADER in request.headers,
             range = request.headers[HttpHeaders.Range],
             ifRange = request.headers[HttpHeaders.IfRange],
+            requestId = request.headers[HttpHeaders.XRequestId],
         )
 
     public companion object {
