--- a/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
@@ -33,181 +33,100 @@
     }
 
     private companion object {
-        const val SENT = "select, send a left 3"
-        const val PASSED = "$SENT, pass 1"
-        const val RESUMED = "$PASSED, select -a paid, send b left 1 from 4"
-        const val DISPATCHED = "AcquireSlot, send upstream left 1"
+        /** Abbreviations for the effects with which many calls begin. */
+        val BEGINNINGS = listOf(
+            "@RESUMED" to "@PASSED, select -a paid, send b left 1 from 4",
+            "@PASSED" to "@SENT, pass 1",
+            "@SENT" to "select, send a left 3",
+            "@DISPATCHED" to "AcquireSlot, send upstream left 1",
+        )
+        val STATES: Map<String, CallState> = mapOf(
+            "GET" to GET,
+            "SPENT" to SPENT,
+            "EXPIRED" to EXPIRED,
+            "POST" to POST,
+            "KEYED" to KEYED,
+            "UPLOAD" to UPLOAD,
+            "HOP" to HOP,
+        )
 
+        /** One case a line: failure, state, events, effects; a line that ends with `|` goes on in the next. */
         @JvmStatic
-        fun cases(): List<Case> = CASES
+        fun cases(): List<Case> =
+            TABLE.replace(Regex("[|]\\n +"), "| ").trim().lines().map { line ->
+                val cells = line.split('|').map { it.trim() }
+                val effects = BEGINNINGS.fold(cells[3]) { text, (short, long) -> text.replace(short, long) }
+                Case(cells[0], STATES.getValue(cells[1]), cells[2], effects)
+            }
 
-        val CASES = listOf(
-            Case("a node without configuration guesses", GET, "arrived-unconfigured", "503 not-run no-configuration"),
-            Case("a stopping node takes calls", GET, "arrived-stopping", "503 not-run node-stopping"),
-            Case("an overloaded node takes calls", GET, "arrived-crowded", "503 not-run too-many-calls"),
-            Case("a prefix matches half a segment", GET, "arrived-unmatched", "404 not-run no-route"),
-            Case("a chain that used up its attempts goes on", SPENT, "arrived", "503 not-run budget-spent"),
-            Case("a chain that used up its time goes on", EXPIRED, "arrived", "504 not-run deadline"),
-            Case("a read fails with its endpoint", GET, "arrived a reset b", "$SENT, select -a paid, send b left 1"),
-            Case("a booking runs twice", POST, "arrived a reset", "$SENT, 502 unknown attempt-failed"),
-            Case(
-                "a booking that was not sent is lost",
-                POST,
-                "arrived a unconnected b",
-                "$SENT, select -a paid, send b left 1",
-            ),
-            Case("a stale member view uses up the budget", POST, "arrived a not-serving", "$SENT, select -a"),
-            Case(
-                "shedding multiplies the load",
-                POST,
-                "arrived a shed no-budget",
-                "$SENT, select -a paid, 503 not-run shed",
-            ),
-            Case("a crashing request is tried elsewhere", GET, "arrived a poison", "$SENT, 503 not-run quarantined"),
-            Case(
-                "attempts are not limited",
-                GET,
-                "arrived-once a reset",
-                "select, send a left 1, 502 unknown attempt-failed",
-            ),
-            Case(
-                "a call that one attempt may have run is told as not-run",
-                GET,
-                "arrived-twice a reset b shed2",
-                "select, send a left 2, select -a paid, send b left 1, 503 unknown shed",
-            ),
-            Case("a body that is gone is sent again", UPLOAD, "arrived a shed", "$SENT, 503 not-run shed"),
-            Case(
-                "a hedged read passes both answers on",
-                GET,
-                "arrived-hedged a hedge b answer2 answer",
-                "$SENT, SetHedgeTimer, select -a paid, send b left 1, cancel 1, pass 2",
-            ),
-            Case("a booking is hedged", POST, "arrived-hedged a hedge", SENT),
-            Case(
-                "a keyed call is sent before its claim",
-                KEYED,
-                "arrived won a answer ended",
-                "TakeClaim, $SENT, KeepAnswer, pass 1, RecordAnswer",
-            ),
-            Case("a repeat runs", KEYED, "arrived recorded", "TakeClaim, replay 201"),
-            Case("a repeat of a running call runs", KEYED, "arrived pending", "TakeClaim, 409 unknown claim-pending"),
-            Case("a key covers two requests", KEYED, "arrived other", "TakeClaim, 422 not-run key-reused"),
-            Case("a call runs without its claim", KEYED, "arrived store-failed", "TakeClaim, 503 not-run store-failed"),
-            Case(
-                "the key of a call that did not run is lost",
-                KEYED,
-                "arrived won none",
-                "TakeClaim, select, ReleaseClaim, 503 not-run no-endpoint",
-            ),
-            Case(
-                "a claim is released although the call may have run",
-                KEYED,
-                "arrived won a reset",
-                "TakeClaim, $SENT, 502 unknown attempt-failed",
-            ),
-            Case(
-                "a claim that is won too late runs or stays",
-                KEYED,
-                "arrived late won",
-                "TakeClaim, 504 not-run deadline, ReleaseClaim",
-            ),
-            Case("a claim of a caller that is gone stays", KEYED, "arrived gone won", "TakeClaim, ReleaseClaim"),
-            Case(
-                "a gone caller loses the outcome of its booking",
-                KEYED,
-                "arrived won a gone answer ended",
-                "TakeClaim, $SENT, KeepAnswer, pass 1, RecordAnswer",
-            ),
-            Case("a download is not resumed", GET, "arrived a answer stalled b rest", "$RESUMED, rest 2"),
-            Case(
-                "another version is appended",
-                GET,
-                "arrived a answer stalled b rest-other-tag",
-                "$RESUMED, cancel 2, AbortAnswer",
-            ),
-            Case(
-                "the wrong part is appended",
-                GET,
-                "arrived a answer stalled b rest-other-part",
-                "$RESUMED, cancel 2, AbortAnswer",
-            ),
-            Case(
-                "a longer body is appended",
-                GET,
-                "arrived a answer stalled b rest-longer",
-                "$RESUMED, cancel 2, AbortAnswer",
-            ),
-            Case(
-                "a whole other body is appended",
-                GET,
-                "arrived a answer stalled b answer2",
-                "$RESUMED, cancel 2, AbortAnswer",
-            ),
-            Case(
-                "a broken body ends as whole",
-                GET,
-                "arrived a answer cut no-budget",
-                "$PASSED, select -a paid, AbortAnswer",
-            ),
-            Case("the answer to a booking is resumed", POST, "arrived a answer cut", "$PASSED, AbortAnswer"),
-            Case("a body is resumed for a gone caller", GET, "arrived a answer unread", "$PASSED, AbortAnswer"),
-            Case("a cancelled call goes on", GET, "arrived a gone answer", "$SENT, cancel 1"),
-            Case("a late call is told as not-run", GET, "arrived a late", "$SENT, cancel 1, 504 unknown deadline"),
-            Case(
-                "a late call that was not sent is told as unknown",
-                GET,
-                "arrived late",
-                "select, 504 not-run deadline",
-            ),
-            Case("a download that makes progress is cut", GET, "arrived a answer late", PASSED),
-            Case("an instance that moved gets the call", HOP, "arrived-moved", "503 not-run unknown-instance"),
-            Case("a draining instance gets new work", HOP, "arrived-draining", "503 not-run not-serving"),
-            Case("a crashing request reaches the upstream", HOP, "arrived-poison", "503 not-run quarantined"),
-            Case("a shed call is told as unknown", HOP, "arrived no-slot", "AcquireSlot, 503 not-run shed"),
-            Case(
-                "an expired call is dispatched",
-                HOP,
-                "arrived late-slot",
-                "AcquireSlot, ReleaseSlot, 504 not-run deadline",
-            ),
-            Case(
-                "a refused connection is told as unknown",
-                HOP,
-                "arrived slot unconnected",
-                "$DISPATCHED, died a, ReleaseSlot, 503 not-run upstream-refused",
-            ),
-            Case(
-                "a death is told as not-run",
-                HOP,
-                "arrived slot reset",
-                "$DISPATCHED, died a, ReleaseSlot, 502 unknown attempt-failed",
-            ),
-            Case(
-                "the end of an unused connection counts as a death",
-                HOP,
-                "arrived slot closed-idle",
-                "$DISPATCHED, ReleaseSlot, 502 unknown attempt-failed",
-            ),
-            Case("a cancelled call keeps its slot", HOP, "arrived slot gone", "$DISPATCHED, ReleaseSlot, cancel 1"),
-            Case(
-                "a whole answer keeps its slot",
-                HOP,
-                "arrived slot answer ended gone",
-                "$DISPATCHED, pass 1, ReleaseSlot",
-            ),
-            Case(
-                "a truncated answer ends as whole",
-                HOP,
-                "arrived slot answer cut",
-                "$DISPATCHED, pass 1, died a, ReleaseSlot, AbortAnswer",
-            ),
-            Case(
-                "a hanging upstream keeps its slot",
-                HOP,
-                "arrived slot late",
-                "$DISPATCHED, ReleaseSlot, cancel 1, 504 unknown deadline",
-            ),
-        )
+        const val TABLE = """
+            a node without configuration guesses | GET | arrived-unconfigured | 503 not-run no-configuration
+            a stopping node takes calls | GET | arrived-stopping | 503 not-run node-stopping
+            an overloaded node takes calls | GET | arrived-crowded | 503 not-run too-many-calls
+            a prefix matches half a segment | GET | arrived-unmatched | 404 not-run no-route
+            a chain that used up its attempts goes on | SPENT | arrived | 503 not-run budget-spent
+            a chain that used up its time goes on | EXPIRED | arrived | 504 not-run deadline
+            a read fails with its endpoint | GET | arrived a reset b | @SENT, select -a paid, send b left 1
+            a booking runs twice | POST | arrived a reset | @SENT, 502 unknown attempt-failed
+            a booking that was not sent is lost | POST | arrived a unconnected b | @SENT, select -a paid, send b left 1
+            a stale member view uses up the budget | POST | arrived a not-serving | @SENT, select -a
+            shedding multiplies the load | POST | arrived a shed no-budget | @SENT, select -a paid, 503 not-run shed
+            a crashing request is tried elsewhere | GET | arrived a poison | @SENT, 503 not-run quarantined
+            attempts are not limited | GET | arrived-once a reset | select, send a left 1, 502 unknown attempt-failed
+            a call that one attempt may have run is told as not-run |
+              GET | arrived-twice a reset b shed2 |
+              select, send a left 2, select -a paid, send b left 1, 503 unknown shed
+            a body that is gone is sent again | UPLOAD | arrived a shed | @SENT, 503 not-run shed
+            a hedged read passes both answers on |
+              GET | arrived-hedged a hedge b answer2 answer |
+              @SENT, SetHedgeTimer, select -a paid, send b left 1, cancel 1, pass 2
+            a booking is hedged | POST | arrived-hedged a hedge | @SENT
+            a keyed call is sent before its claim |
+              KEYED | arrived won a answer ended | TakeClaim, @SENT, KeepAnswer, pass 1, RecordAnswer
+            a repeat runs | KEYED | arrived recorded | TakeClaim, replay 201
+            a repeat of a running call runs | KEYED | arrived pending | TakeClaim, 409 unknown claim-pending
+            a key covers two requests | KEYED | arrived other | TakeClaim, 422 not-run key-reused
+            a call runs without its claim | KEYED | arrived store-failed | TakeClaim, 503 not-run store-failed
+            the key of a call that did not run is lost |
+              KEYED | arrived won none | TakeClaim, select, ReleaseClaim, 503 not-run no-endpoint
+            a claim is released although the call may have run |
+              KEYED | arrived won a reset | TakeClaim, @SENT, 502 unknown attempt-failed
+            a claim that is won too late runs or stays |
+              KEYED | arrived late won | TakeClaim, 504 not-run deadline, ReleaseClaim
+            a claim of a caller that is gone stays | KEYED | arrived gone won | TakeClaim, ReleaseClaim
+            a gone caller loses the outcome of its booking |
+              KEYED | arrived won a gone answer ended | TakeClaim, @SENT, KeepAnswer, pass 1, RecordAnswer
+            a download is not resumed | GET | arrived a answer stalled b rest | @RESUMED, rest 2
+            another version is appended |
+              GET | arrived a answer stalled b rest-other-tag | @RESUMED, cancel 2, AbortAnswer
+            the wrong part is appended |
+              GET | arrived a answer stalled b rest-other-part | @RESUMED, cancel 2, AbortAnswer
+            a longer body is appended | GET | arrived a answer stalled b rest-longer | @RESUMED, cancel 2, AbortAnswer
+            a whole other body is appended | GET | arrived a answer stalled b answer2 | @RESUMED, cancel 2, AbortAnswer
+            a broken body ends as whole | GET | arrived a answer cut no-budget | @PASSED, select -a paid, AbortAnswer
+            the answer to a booking is resumed | POST | arrived a answer cut | @PASSED, AbortAnswer
+            a body is resumed for a gone caller | GET | arrived a answer unread | @PASSED, AbortAnswer
+            a cancelled call goes on | GET | arrived a gone answer | @SENT, cancel 1
+            a late call is told as not-run | GET | arrived a late | @SENT, cancel 1, 504 unknown deadline
+            a late call that was not sent is told as unknown | GET | arrived late | select, 504 not-run deadline
+            a download that makes progress is cut | GET | arrived a answer late | @PASSED
+            an instance that moved gets the call | HOP | arrived-moved | 503 not-run unknown-instance
+            a draining instance gets new work | HOP | arrived-draining | 503 not-run not-serving
+            a crashing request reaches the upstream | HOP | arrived-poison | 503 not-run quarantined
+            a shed call is told as unknown | HOP | arrived no-slot | AcquireSlot, 503 not-run shed
+            an expired call is dispatched | HOP | arrived late-slot | AcquireSlot, ReleaseSlot, 504 not-run deadline
+            a refused connection is told as unknown |
+              HOP | arrived slot unconnected | @DISPATCHED, died a, ReleaseSlot, 503 not-run upstream-refused
+            a death is told as not-run |
+              HOP | arrived slot reset | @DISPATCHED, died a, ReleaseSlot, 502 unknown attempt-failed
+            the end of an unused connection counts as a death |
+              HOP | arrived slot closed-idle | @DISPATCHED, ReleaseSlot, 502 unknown attempt-failed
+            a cancelled call keeps its slot | HOP | arrived slot gone | @DISPATCHED, ReleaseSlot, cancel 1
+            a whole answer keeps its slot | HOP | arrived slot answer ended gone | @DISPATCHED, pass 1, ReleaseSlot
+            a truncated answer ends as whole |
+              HOP | arrived slot answer cut | @DISPATCHED, pass 1, died a, ReleaseSlot, AbortAnswer
+            a hanging upstream keeps its slot |
+              HOP | arrived slot late | @DISPATCHED, ReleaseSlot, cancel 1, 504 unknown deadline
+        """
     }
 }
