--- a/examples/embedding/src/main/kotlin/boragelever/examples/EmbeddedMesh.kt
+++ b/examples/embedding/src/main/kotlin/boragelever/examples/EmbeddedMesh.kt
@@ -120,7 +120,8 @@
                 deliver(node, ANSWER_MILLIS) { Event.DocumentCompiled(it, effect.version, compiled) }
             }
             is Effect.SendToPeer -> send(node, effect)
-            is Effect.ContactAddress, is Effect.ClosePeer, is Effect.InstallSnapshot, is Effect.Exit -> Unit
+            is Effect.ContactAddress -> contact(node, effect)
+            is Effect.ClosePeer, is Effect.InstallSnapshot, is Effect.Exit -> Unit
             is Effect.Report -> observed += Observation(nowMillis, node, effect.notice)
         }
     }
@@ -134,6 +135,15 @@
         }
     }
 
+    /** Introduces both ends to each other, as the handshake of a connection does. */
+    private fun contact(node: String, effect: Effect.ContactAddress) {
+        val peer = states.values.firstOrNull { it.identity.peerAddress == effect.address } ?: return
+        listOf(node to peer.identity.node.value, peer.identity.node.value to node).forEach { (to, about) ->
+            val record = states[about]?.members?.own ?: return
+            deliver(to, ANSWER_MILLIS) { Event.PeerConnected(it, record) }
+        }
+    }
+
     private fun storeAnswer(effect: Effect.CallStore): StoreAnswer =
         when (val reply = platform.submit(PlatformRequest.Execute(effect.command))) {
             is PlatformReply.Answered -> reply.answer
