Give calls a rate ceiling of the store of their own

Claims and lease renewals shared one ceiling of 100 writes/s, so a burst of keyed calls could keep the holder from renewing its lease, and the refusals of the ceiling opened the control state's circuit breaker. Calls now go through a second platform on the same connections; the store figures count both.

--- a/app/src/main/kotlin/boragelever/app/ServiceCommands.kt
+++ b/app/src/main/kotlin/boragelever/app/ServiceCommands.kt
@@ -15,7 +15,8 @@
     configureLogging(command.logging)
     return opening {
         HttpPlatform(command.platform).use { platform ->
-            val node = Node(command.settings, platform, command.folder.open(platform))
+            val folder = command.folder.open(platform)
+            val node = Node(command.settings, platform, folder, platform.withOwnCeiling())
             node.start()
             Termination.onSignal {
                 node.stop()
--- a/node/src/main/kotlin/boragelever/node/MeteredPlatform.kt
+++ b/node/src/main/kotlin/boragelever/node/MeteredPlatform.kt
@@ -18,29 +18,50 @@
 )
 
 /** Counts the commands that pass to [platform]. */
-public class MeteredPlatform(private val platform: Platform, private val clock: Clock) : Platform {
+public class MeteredPlatform private constructor(
+    private val platform: Platform,
+    private val clock: Clock,
+    private val counters: StoreCounters,
+) : Platform {
+    public constructor(platform: Platform, clock: Clock) : this(platform, clock, StoreCounters())
+
+    /** Figures as of now, with those of every platform from [metering]. */
+    public val figures: StoreFigures get() = counters.figures()
+
+    /** Returns a platform that counts the commands to [other] together with those of this one. */
+    public fun metering(other: Platform): MeteredPlatform = MeteredPlatform(other, clock, counters)
+
+    override suspend fun execute(command: StoreCommand): StoreAnswer {
+        counters.countCommand(command)
+        val answer = platform.execute(command)
+        counters.countAnswer(answer, clock.nowMillis())
+        return answer
+    }
+
+    override fun close() {
+        platform.close()
+    }
+}
+
+private class StoreCounters {
     private val reads = LongAdder()
     private val writes = LongAdder()
     private val failures = LongAdder()
     private val answeredAt = AtomicLong(NEVER)
 
-    /** Figures as of now. */
-    public val figures: StoreFigures
-        get() = StoreFigures(reads.sum(), writes.sum(), failures.sum(), answeredAt.get().takeIf { it != NEVER })
+    fun figures(): StoreFigures =
+        StoreFigures(reads.sum(), writes.sum(), failures.sum(), answeredAt.get().takeIf { it != NEVER })
 
-    override suspend fun execute(command: StoreCommand): StoreAnswer {
+    fun countCommand(command: StoreCommand) {
         (if (command.isWrite) writes else reads).increment()
-        val answer = platform.execute(command)
+    }
+
+    fun countAnswer(answer: StoreAnswer, nowMillis: Long) {
         if (answer is StoreAnswer.StoreFailed && answer.failure !is StoreFailure.Invalid) {
             failures.increment()
         } else {
-            answeredAt.set(clock.nowMillis())
+            answeredAt.set(nowMillis)
         }
-        return answer
-    }
-
-    override fun close() {
-        platform.close()
     }
 
     private companion object {
--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -51,16 +51,26 @@
 /**
  * One node: the control thread, the connections to peers, the proxy and the admin port.
  *
- * The node does not own [platform] and does not close it.
+ * The node does not own [platform] and [callPlatform] and does not close them.
+ *
+ * @param platform store of the control state.
+ * @param callPlatform store of the claims of calls; with a rate ceiling of its own, calls cannot starve the control
+ *   state.
  */
 public fun Node(
     settings: NodeSettings,
     platform: Platform,
     folder: ConfigFolder,
-): Node = Node(settings, NodeOutside(platform, folder, Clock.SYSTEM))
+    callPlatform: Platform = platform,
+): Node = Node(settings, NodeOutside(platform, folder, Clock.SYSTEM, callPlatform))
 
 /** What a node gets from outside. */
-internal class NodeOutside(val platform: Platform, val folder: ConfigFolder, val clock: Clock)
+internal class NodeOutside(
+    val platform: Platform,
+    val folder: ConfigFolder,
+    val clock: Clock,
+    val callPlatform: Platform = platform,
+)
 
 /** A node as made by the function of the same name. */
 public class Node internal constructor(private val settings: NodeSettings, private val outside: NodeOutside) {
@@ -91,7 +101,7 @@
         ProxyServer(
             settings.proxySettings(),
             snapshots::get,
-            store,
+            store.metering(outside.callPlatform),
             ::observed,
             ProxyTelemetry(tracing.openTelemetry, registry),
         )
