--- a/bench/src/main/kotlin/boragelever/bench/ControlReport.kt
+++ b/bench/src/main/kotlin/boragelever/bench/ControlReport.kt
@@ -57,6 +57,7 @@
     "profile",
     "idle B/s per node",
     "idle B/s between regions",
+    "of it store",
     "day B/s per node",
     "day B/s between regions",
     "busiest node B/s sent",
@@ -82,8 +83,10 @@
     "profile",
     "KB per change",
     "KB between regions",
+    "of it store",
     "KB per replacement",
     "KB between regions",
+    "of it store",
 )
 
 private fun ControlResult.slopesRow(): List<String> {
