--- a/standin/src/test/kotlin/boragelever/standin/HttpPlatformTest.kt
+++ b/standin/src/test/kotlin/boragelever/standin/HttpPlatformTest.kt
@@ -22,6 +22,7 @@
 import boragelever.platform.ConfigFolder
 import boragelever.platform.HttpPlatform
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertInstanceOf
@@ -72,6 +73,19 @@
             assertEquals(case.takesEffect, standIn.current.rows.isNotEmpty(), "effect of the write")
         }
 
+    /** Guards against a broken connection that stays open, so that an outage looks like a silent store. */
+    @Test
+    fun `each of several broken requests ends before the client's own time-out`() =
+        runBlocking {
+            standIn.submit(PlatformRequest.SetFaults(PlatformFaults(down = true)))
+            HttpPlatform(standIn.address) { requestTimeoutMillis = 600_000 }.use { client ->
+                repeat(8) {
+                    val answer = withTimeoutOrNull(30_000) { client.execute(READ) }
+                    assertEquals(StoreFailure.Unavailable::class.simpleName, answer?.let(::failureKind))
+                }
+            }
+        }
+
     @Test
     fun `a refused connection proves that the write did not run`() =
         runBlocking {
