Measure how calls are carried

Adds boragelever.bench.CallBenchKt with three parts: latency and throughput of calls through node processes against the upstream alone, keyed calls a second against a paced store, and a virtual-time model that drives the reducers of both hops, endpoint selection, ejection and the retry budget under faults.

--- /dev/null
+++ b/bench/src/main/kotlin/boragelever/bench/CallBench.kt
@@ -0,0 +1,84 @@
+package boragelever.bench
+
+import java.nio.file.Path
+import java.util.Locale
+
+/** Runs the measurements of calls; `--quick` shortens them, `--only PART` runs one part. */
+public fun main(arguments: Array<String>) {
+    val quick = "--quick" in arguments
+    val only = arguments.indexOf("--only").takeIf { it >= 0 }?.let { arguments.getOrNull(it + 1) }
+    println("cores ${Runtime.getRuntime().availableProcessors()}, seed $CALL_SEED, quick $quick")
+    if (only == null || only == "latency") runLatency(quick)
+    if (only == null || only == "claims") runClaims(quick)
+    if (only == null || only == "model") runModel(quick)
+}
+
+/** Seed of all random choices of the model. */
+internal const val CALL_SEED = 20_251L
+
+private fun runLatency(quick: Boolean) {
+    val plan = if (quick) LatencyPlan(700, 2, 700, 500) else LatencyPlan(6_000, 12, 1_500, 3_000)
+    val program = Path.of(System.getProperty("boragelever.program", "target/boragelever"))
+    val report = CallProcesses(program).use { measureLatency(it, plan) }
+    printLatency(report)
+}
+
+private fun printLatency(report: LatencyReport) {
+    println("path        calls  failed   p50 us   p90 us   p99 us p99.9 us")
+    report.results.forEach { (name, result) ->
+        val columns = listOf(50.0, 90.0, 99.0, 99.9).map { result.micros(it) }
+        println("%-9s %7d %7d".format(name, result.latencies.totalCount, result.failures) + columns.text())
+    }
+    println("saturation  conns  calls/s  failed  p99 us  caller cpu us  hop cpu us")
+    report.throughput.forEach {
+        val columns =
+            listOf(it.perSecond, it.failures.toDouble(), it.p99Micros, it.callerCpuMicros, it.lastHopCpuMicros)
+        println("%-9s %7d".format(it.target, it.connections) + columns.text())
+    }
+    val memory = report.memory
+    println("resident MiB of the calling node: idle ${memory.idle}, loaded ${memory.loaded}, after ${memory.saturated}")
+}
+
+private fun runClaims(quick: Boolean) {
+    println("claims: nodes callers  calls/s  failed   p50 ms   p99 ms writes/s")
+    val millis = if (quick) 500L else 4_000L
+    measureClaims(nodes = 1, callers = 8, millis)
+    listOf(1 to 1, 1 to 64, 3 to 63, 6 to 66).forEach { (nodes, callers) ->
+        val rate = measureClaims(nodes, callers, millis)
+        val columns = listOf(
+            rate.perSecond,
+            rate.failures.toDouble(),
+            rate.p50Millis,
+            rate.p99Millis,
+            rate.writesPerSecond,
+        )
+        println("%13d %7d".format(nodes, callers) + columns.text())
+    }
+}
+
+private fun runModel(quick: Boolean) {
+    val outcomes = runScenarios(if (quick) WARM_UP_MILLIS + 300 else WARM_UP_MILLIS + 10_000)
+    outcomes.groupBy { it.scenario.table }.forEach { (table, rows) ->
+        println(
+            "%-17s %-12s   calls  success%%  cross%%  att/call  p50 ms  p99 ms p99.9 ms violations".format(table, ""),
+        )
+        rows.forEach { println(it.line()) }
+    }
+}
+
+private fun ScenarioOutcome.line(): String {
+    val figures = "%8d %9.3f %7.2f %9.3f %7.1f %7.1f %8.1f".format(
+        Locale.ROOT,
+        result.calls,
+        result.successPercent,
+        result.crossRegionPercent,
+        result.attempts.toDouble() / maxOf(1, result.calls),
+        result.millis(50.0),
+        result.millis(99.0),
+        result.millis(99.9),
+    )
+    return "%-17s %-12s".format(scenario.name, scenario.variant) + figures +
+        " ${result.falseNotRun}+${result.doubleRuns}"
+}
+
+internal fun List<Double>.text(): String = joinToString("") { "%9.0f".format(Locale.ROOT, it) }
--- /dev/null
+++ b/bench/src/main/kotlin/boragelever/bench/CallClaims.kt
@@ -0,0 +1,177 @@
+package boragelever.bench
+
+import boragelever.core.ConfigVersion
+import boragelever.core.Digest
+import boragelever.core.InstanceId
+import boragelever.core.NetworkAddress
+import boragelever.core.NodeId
+import boragelever.core.RegionName
+import boragelever.core.RouteName
+import boragelever.core.ZoneName
+import boragelever.core.config.ConfigId
+import boragelever.core.config.LimitsConfig
+import boragelever.core.config.RouteConfig
+import boragelever.core.config.ServiceConfig
+import boragelever.core.control.UpstreamRecord
+import boragelever.core.control.UpstreamState
+import boragelever.core.routing.CompiledRoute
+import boragelever.core.routing.CompiledService
+import boragelever.core.routing.Destination
+import boragelever.core.routing.Endpoint
+import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.RoutingSnapshot
+import boragelever.core.store.StoreAnswer
+import boragelever.core.store.StoreCommand
+import boragelever.node.proxy.ProxyPorts
+import boragelever.node.proxy.ProxyServer
+import boragelever.node.proxy.ProxySettings
+import boragelever.platform.Platform
+import boragelever.platform.isWrite
+import boragelever.standin.MemoryPlatform
+import boragelever.standin.UpstreamSettings
+import boragelever.standin.UpstreamStandIn
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicLong
+
+private const val WRITE_MILLIS = 5L
+private const val WRITES_PER_SECOND = 300L
+private const val SLOTS_OF_CLAIMS = 1_024
+private const val HTTP_OK = 200
+
+/** Store in memory with a delay for each write and a ceiling of writes a second, shared by all nodes. */
+internal class PacedPlatform(private val store: MemoryPlatform = MemoryPlatform()) : Platform by store {
+    private val nextNanos = AtomicLong(System.nanoTime())
+    val writes = AtomicLong()
+
+    override suspend fun execute(command: StoreCommand): StoreAnswer {
+        if (!command.isWrite) return store.execute(command)
+        writes.incrementAndGet()
+        val turnNanos = takeTurn()
+        delay((turnNanos - System.nanoTime()).coerceAtLeast(0) / 1_000_000 + WRITE_MILLIS)
+        return store.execute(command)
+    }
+
+    /** The time of the next write under the ceiling. */
+    private fun takeTurn(): Long {
+        val now = System.nanoTime()
+        return nextNanos.updateAndGet { maxOf(it + 1_000_000_000 / WRITES_PER_SECOND, now) }
+    }
+}
+
+/** Keyed calls a second through the claims of [nodes] nodes. */
+internal class ClaimRate(
+    val nodes: Int,
+    val callers: Int,
+    val perSecond: Double,
+    val failures: Long,
+    val p50Millis: Double,
+    val p99Millis: Double,
+    val writesPerSecond: Double,
+)
+
+/** Measures keyed calls in a closed loop: each is claimed, runs once and has its answer recorded. */
+internal fun measureClaims(nodes: Int, callers: Int, millis: Long): ClaimRate {
+    val platform = PacedPlatform()
+    val settings = UpstreamSettings(ClaimNode.service, ClaimNode.instance, SLOTS_OF_CLAIMS, SLOTS_OF_CLAIMS)
+    return UpstreamStandIn(settings).use { upstream ->
+        val servers = List(nodes) { ClaimNode(it, platform, upstream.address) }
+        try {
+            val result = claimLoop(servers.map { it.ports.proxy }, callers, millis)
+            val seconds = millis / 1_000.0
+            ClaimRate(
+                nodes,
+                callers,
+                (result.latencies.totalCount - result.failures) / seconds,
+                result.failures,
+                result.micros(50.0) / 1_000,
+                result.micros(99.0) / 1_000,
+                platform.writes.get() / seconds,
+            )
+        } finally {
+            servers.forEach { it.close() }
+        }
+    }
+}
+
+private fun claimLoop(ports: List<Int>, callers: Int, millis: Long): CallResult {
+    val pool = Executors.newFixedThreadPool(callers) { Thread(it, "claim").apply { isDaemon = true } }
+    val endNanos = System.nanoTime() + millis * 1_000_000
+    val tasks = List(callers) { caller ->
+        Callable {
+            val target = CallTarget("claims", ports[caller % ports.size], method = "POST")
+            CallResult().also { result ->
+                CallClient(target).use { client ->
+                    var number = 0
+                    while (System.nanoTime() < endNanos) {
+                        val startNanos = System.nanoTime()
+                        val status = client.call(mapOf("Idempotency-Key" to "key-$caller-${number++}"))
+                        result.latencies.recordValue(System.nanoTime() - startNanos)
+                        if (status != HTTP_OK) result.failures += 1
+                    }
+                }
+            }
+        }
+    }
+    try {
+        return CallResult().also { sum -> pool.invokeAll(tasks).forEach { sum.add(it.get()) } }
+    } finally {
+        pool.shutdownNow()
+    }
+}
+
+/** The traffic side of a node with one upstream beside it and no control state. */
+private class ClaimNode(number: Int, platform: Platform, private val upstream: NetworkAddress) : AutoCloseable {
+    private val node = NodeId("node-$number")
+
+    @Volatile
+    private var snapshot: RoutingSnapshot? = null
+    private val server = ProxyServer(ProxySettings(node, "127.0.0.1"), { snapshot }, platform, { })
+    val ports: ProxyPorts = runBlocking { server.start() }
+
+    init {
+        snapshot = snapshotFor(ports)
+    }
+
+    override fun close() = runBlocking { server.close() }
+
+    private fun snapshotFor(ports: ProxyPorts): RoutingSnapshot {
+        val record = UpstreamRecord(
+            service,
+            instance,
+            upstream,
+            SLOTS_OF_CLAIMS,
+            SLOTS_OF_CLAIMS,
+            UpstreamState.SERVING,
+        )
+        val route = RouteConfig(pathPrefix = "/", destinations = mapOf(service to 1))
+        return RoutingSnapshot(
+            config = ConfigId(ConfigVersion(1), Digest("0")),
+            node = node,
+            routes = listOf(CompiledRoute(RouteName("claims"), route, listOf(Destination(service, 1)))),
+            services = mapOf(service to CompiledService(service, ServiceConfig(), listOf(endpoint(ports)))),
+            limits = LimitsConfig(),
+            localUpstreams = mapOf(instance to record),
+        )
+    }
+
+    private fun endpoint(ports: ProxyPorts): Endpoint =
+        Endpoint(
+            instance = instance,
+            service = service,
+            node = node,
+            callAddress = NetworkAddress("127.0.0.1:${ports.hop}"),
+            region = RegionName("khomas"),
+            zone = ZoneName("a"),
+            tier = LocalityTier.SAME_ZONE,
+            slots = SLOTS_OF_CLAIMS,
+            servingSinceMillis = Long.MIN_VALUE / 2,
+        )
+
+    companion object {
+        val service = SERVICE
+        val instance = InstanceId("claims-0")
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/boragelever/bench/CallClient.kt
@@ -0,0 +1,83 @@
+package boragelever.bench
+
+import java.io.BufferedInputStream
+import java.io.EOFException
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Socket
+
+private const val TIMEOUT_MILLIS = 5_000
+private const val STATUS_START = 9
+private const val STATUS_END = 12
+private const val LENGTH_PREFIX = "content-length:"
+
+/** Where calls of one path are sent and with which headers. */
+internal data class CallTarget(
+    val name: String,
+    val port: Int,
+    val path: String = "/scans/1",
+    val method: String = "GET",
+    val headers: Map<String, String> = emptyMap(),
+)
+
+/**
+ * A blocking HTTP/1.1 connection on loopback with as little work of its own as possible.
+ *
+ * A client library would add its own queueing and threads to the latencies that are compared.
+ */
+internal class CallClient(private val target: CallTarget) : AutoCloseable {
+    private val socket = Socket()
+    private val input: BufferedInputStream
+    private val request = requestOf(target, emptyMap())
+
+    init {
+        socket.tcpNoDelay = true
+        socket.soTimeout = TIMEOUT_MILLIS
+        socket.connect(InetSocketAddress("127.0.0.1", target.port), TIMEOUT_MILLIS)
+        input = BufferedInputStream(socket.getInputStream())
+    }
+
+    /** Sends one request and reads the whole answer; returns its status. */
+    fun call(headers: Map<String, String> = emptyMap()): Int {
+        socket.getOutputStream().write(if (headers.isEmpty()) request else requestOf(target, headers))
+        val status = readLine().substring(STATUS_START, STATUS_END).toInt()
+        var length = 0
+        while (true) {
+            val line = readLine()
+            if (line.isEmpty()) break
+            if (line.startsWith(LENGTH_PREFIX, ignoreCase = true)) {
+                length = line.substring(LENGTH_PREFIX.length).trim().toInt()
+            }
+        }
+        if (input.readNBytes(length).size < length) throw EOFException("the answer is truncated")
+        return status
+    }
+
+    override fun close() = socket.close()
+
+    private fun readLine(): String {
+        val line = StringBuilder()
+        while (true) {
+            when (val byte = input.read()) {
+                -1 -> throw EOFException("the connection ended")
+                '\n'.code -> return line.toString()
+                '\r'.code -> Unit
+                else -> line.append(byte.toChar())
+            }
+        }
+    }
+}
+
+/** Calls once on a new connection; returns the status, or `null` if no answer came. */
+internal fun tryCall(target: CallTarget): Int? =
+    try {
+        CallClient(target).use { it.call() }
+    } catch (failure: IOException) {
+        null
+    }
+
+private fun requestOf(target: CallTarget, headers: Map<String, String>): ByteArray {
+    val lines = (target.headers + headers).map { (name, value) -> "$name: $value\r\n" }.joinToString("")
+    val body = if (target.method == "GET") "" else "Content-Length: 0\r\n"
+    return "${target.method} ${target.path} HTTP/1.1\r\nHost: bench\r\n$lines$body\r\n".encodeToByteArray()
+}
