--- a/bench/src/main/kotlin/boragelever/bench/CallModel.kt
+++ b/bench/src/main/kotlin/boragelever/bench/CallModel.kt
@@ -132,7 +132,7 @@
             target = "/scans/$number",
             key = if (keyed) IdempotencyKey("key-$number") else null,
         )
-        val call = ModelCall(this, host, request, counted = nowMicros >= WARM_UP_MILLIS * MICROS_PER_MILLI)
+        val call = ModelCall(this, host, request, counted = nowMicros >= scenario.warmUpMillis * MICROS_PER_MILLI)
         calls += call
         call.on(CallEvent.Arrived(stamp, view(host).snapshot, callsInFlight = 1))
     }
--- a/bench/src/main/kotlin/boragelever/bench/CallScenarios.kt
+++ b/bench/src/main/kotlin/boragelever/bench/CallScenarios.kt
@@ -1,6 +1,8 @@
 package boragelever.bench
 
 import boragelever.core.config.CrossRegion
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
 
 /** A run of the model with the names of its rows and columns in the report. */
 internal data class NamedScenario(val table: String, val name: String, val variant: String, val run: CallScenario)
@@ -8,42 +10,49 @@
 /** What a run of the model came to. */
 internal class ScenarioOutcome(val scenario: NamedScenario, val result: CallModelResult)
 
+/** Length of each run in virtual time. */
+internal data class ModelPlan(val warmUpMillis: Long, val measuredMillis: Long) {
+    fun scenario(policy: CallPolicy, fault: CallFault, loadPercent: Int): CallScenario =
+        CallScenario(policy, fault, loadPercent, warmUpMillis + measuredMillis, warmUpMillis)
+}
+
 private const val HEDGE_MILLIS = 100L
+private const val MODEL_THREADS = 4
 
-/** All runs of the model, each of [durationMillis] of virtual time. */
-internal fun callScenarios(durationMillis: Long): List<NamedScenario> =
-    localityScenarios(durationMillis) + faultScenarios(durationMillis) + hedgeScenarios(durationMillis)
+/** All runs of the model. */
+internal fun callScenarios(plan: ModelPlan): List<NamedScenario> =
+    localityScenarios(plan) + faultScenarios(plan) + hedgeScenarios(plan)
 
-private fun localityScenarios(durationMillis: Long): List<NamedScenario> =
+private fun localityScenarios(plan: ModelPlan): List<NamedScenario> =
     listOf(50, 80, 100).flatMap { load ->
         listOf(
             "last resort" to CallPolicy.Mesh(),
             "spill" to CallPolicy.Mesh(CrossRegion.SPILL),
             "round robin" to CallPolicy.RoundRobin,
         ).map { (variant, policy) ->
-            val run = CallScenario(policy, CallFault.ZoneDown, load, durationMillis)
+            val run = plan.scenario(policy, CallFault.ZoneDown, load)
             NamedScenario("one zone down", "$load% load", variant, run)
         }
     }
 
-private fun faultScenarios(durationMillis: Long): List<NamedScenario> {
+private fun faultScenarios(plan: ModelPlan): List<NamedScenario> {
     val cases = listOf(
         Triple("no fault", CallFault.None, 50),
         Triple("hung", CallFault.Hung, 50),
         Triple("flapping", CallFault.Flapping(), 50),
         Triple("lying report", CallFault.Slow(factor = 5, lies = true), 50),
-        Triple("cold start", CallFault.ColdStart(atMillis = WARM_UP_MILLIS), 50),
+        Triple("cold start", CallFault.ColdStart(atMillis = plan.warmUpMillis), 50),
         Triple("overload", CallFault.None, 150),
     )
     val policies = listOf("mesh" to CallPolicy.Mesh(CrossRegion.SPILL), "round robin" to CallPolicy.RoundRobin)
     return cases.flatMap { (name, fault, load) ->
         policies.map { (variant, policy) ->
-            NamedScenario("faults", name, variant, CallScenario(policy, fault, load, durationMillis))
+            NamedScenario("faults", name, variant, plan.scenario(policy, fault, load))
         }
     }
 }
 
-private fun hedgeScenarios(durationMillis: Long): List<NamedScenario> =
+private fun hedgeScenarios(plan: ModelPlan): List<NamedScenario> =
     listOf(30, 60, 80).flatMap { load ->
         listOf("retries" to 0L, "hedged" to HEDGE_MILLIS).map { (variant, hedge) ->
             val policy = CallPolicy.Mesh(CrossRegion.SPILL, hedgeAfterMillis = hedge)
@@ -52,11 +61,18 @@
                 "one slow upstream",
                 "$load% load",
                 variant,
-                CallScenario(policy, fault, load, durationMillis),
+                plan.scenario(policy, fault, load),
             )
         }
     }
 
-/** Runs the scenarios one after the other; each is deterministic. */
-internal fun runScenarios(durationMillis: Long): List<ScenarioOutcome> =
-    callScenarios(durationMillis).map { ScenarioOutcome(it, CallModel(it.run).run()) }
+/** Runs the scenarios on a few threads; each is deterministic by itself. */
+internal fun runScenarios(plan: ModelPlan): List<ScenarioOutcome> {
+    val pool = Executors.newFixedThreadPool(MODEL_THREADS)
+    try {
+        val tasks = callScenarios(plan).map { Callable { ScenarioOutcome(it, CallModel(it.run).run()) } }
+        return pool.invokeAll(tasks).map { it.get() }
+    } finally {
+        pool.shutdownNow()
+    }
+}
