Delete claims and recorded answers after their time

Claim rows and the bodies of recorded answers stayed in the store for ever; keep_outcome_ms was decoded but not enforced. The holder of the publisher lease now walks the claim rows, one page of at most 100 about each minute, and deletes those older than the longest keep_outcome_ms of all routes plus an hour for clock differences: first the answer, then the row on condition that its revision is unchanged.

--- a/core/src/main/kotlin/boragelever/core/control/ControlState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/ControlState.kt
@@ -60,6 +60,7 @@
     public val pausedMillis: Long? = null,
     /** What [snapshot] was built from. */
     public val snapshotInputs: SnapshotInputs? = null,
+    public val claimCleanup: ClaimCleanupState = ClaimCleanupState(),
 )
 
 /** Life of the process. */
--- a/core/src/main/kotlin/boragelever/core/control/Event.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Event.kt
@@ -99,6 +99,7 @@
 public enum class RequestOwner {
     LEASE,
     PUBLISHER,
+    CLAIM_CLEANUP,
     CONFIG,
     DISSEMINATION,
     MEMBERSHIP,
