--- a/core/src/test/kotlin/boragelever/core/Session.kt
+++ b/core/src/test/kotlin/boragelever/core/Session.kt
@@ -5,6 +5,8 @@
 import boragelever.core.config.DisseminationConfig
 import boragelever.core.config.DisseminationProfile
 import boragelever.core.config.EntryKey
+import boragelever.core.config.IdempotencyConfig
+import boragelever.core.config.RouteConfig
 import boragelever.core.control.CompileOutcome
 import boragelever.core.control.ControlState
 import boragelever.core.control.Effect
@@ -226,7 +228,17 @@
             if (document.entries.containsKey(EntryKey("future"))) return CompileOutcome.Refused(listOf("unknown key"))
             val bytes = document.entries[EntryKey("profile")] == "bytes"
             val profile = if (bytes) DisseminationProfile.BYTES else DisseminationProfile.CONVERGENCE
-            return CompileOutcome.Compiled(Configuration(dissemination = DisseminationConfig(profile, 2_000)))
+            val routes = document.entries[EntryKey("keep_ms")]?.let { keepingRoute(it.toLong()) }.orEmpty()
+            return CompileOutcome.Compiled(
+                Configuration(routes = routes, dissemination = DisseminationConfig(profile, 2_000)),
+            )
+        }
+
+        fun keepingRoute(keepMillis: Long): Map<RouteName, RouteConfig> {
+            val idempotency = IdempotencyConfig(keepOutcomeMillis = keepMillis)
+            return mapOf(
+                RouteName("r") to RouteConfig(pathPrefix = "/", destinations = emptyMap(), idempotency = idempotency),
+            )
         }
     }
 }
