Give the chaos and call benches packages of their own

Two enum classes and two data classes had the same names in one package after the merge, so the bench module did not compile.

--- a/bench/src/main/kotlin/boragelever/bench/CallBench.kt
+++ b/bench/src/main/kotlin/boragelever/bench/calls/CallBench.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.calls
 
 import java.nio.file.Files
 import java.nio.file.Path
--- a/bench/src/main/kotlin/boragelever/bench/CallCharts.kt
+++ b/bench/src/main/kotlin/boragelever/bench/calls/CallCharts.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.calls
 
 import org.knowm.xchart.BitmapEncoder
 import org.knowm.xchart.CategoryChartBuilder
--- a/bench/src/main/kotlin/boragelever/bench/CallClient.kt
+++ b/bench/src/main/kotlin/boragelever/bench/calls/CallClient.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.calls
 
 import java.io.BufferedInputStream
 import java.io.EOFException
--- a/bench/src/main/kotlin/boragelever/bench/CallLatency.kt
+++ b/bench/src/main/kotlin/boragelever/bench/calls/CallLatency.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.calls
 
 private const val RATE = 280
 private const val THREADS = 6
--- a/bench/src/main/kotlin/boragelever/bench/CallLoad.kt
+++ b/bench/src/main/kotlin/boragelever/bench/calls/CallLoad.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.calls
 
 import org.HdrHistogram.Histogram
 import java.io.IOException
--- a/bench/src/main/kotlin/boragelever/bench/CallModelSettings.kt
+++ b/bench/src/main/kotlin/boragelever/bench/calls/CallModelSettings.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.calls
 
 import boragelever.core.ServiceName
 import boragelever.core.config.CrossRegion
--- a/bench/src/main/kotlin/boragelever/bench/CallProcesses.kt
+++ b/bench/src/main/kotlin/boragelever/bench/calls/CallProcesses.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.calls
 
 import java.io.File
 import java.io.IOException
--- a/bench/src/main/kotlin/boragelever/bench/ChaosReducer.kt
+++ b/bench/src/main/kotlin/boragelever/bench/chaos/ChaosReducer.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.chaos
 
 import boragelever.core.NodeId
 import kotlinx.collections.immutable.persistentListOf
--- a/bench/src/main/kotlin/boragelever/bench/ChaosState.kt
+++ b/bench/src/main/kotlin/boragelever/bench/chaos/ChaosState.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.chaos
 
 import boragelever.core.ConfigVersion
 import boragelever.core.Digest
--- a/bench/src/main/kotlin/boragelever/bench/ChaosTable.kt
+++ b/bench/src/main/kotlin/boragelever/bench/chaos/ChaosTable.kt
@@ -1,4 +1,4 @@
-package boragelever.bench
+package boragelever.bench.chaos
 
 import boragelever.core.call.Outcome
 
--- a/standin/src/main/kotlin/boragelever/standin/BrokenContent.kt
+++ b/standin/src/main/kotlin/boragelever/standin/BrokenContent.kt
@@ -5,7 +5,7 @@
 import io.ktor.http.content.OutgoingContent
 import io.ktor.http.headersOf
 import io.ktor.utils.io.ByteWriteChannel
-import kotlinx.io.IOException
+import io.ktor.utils.io.writeByte
 
 /** Announces a body and breaks the connection before it is complete, so that the client cannot read the answer. */
 internal object BrokenContent : OutgoingContent.WriteChannelContent() {
@@ -14,7 +14,8 @@
     /** Without it the server may keep the connection open, and the client waits for its time-out. */
     override val headers: Headers = headersOf(HttpHeaders.Connection, "close")
 
+    /** Ends early without an exception: the server sometimes left the connection open when this one threw. */
     override suspend fun writeTo(channel: ByteWriteChannel) {
-        throw IOException("the stand-in breaks this connection on purpose")
+        channel.writeByte(0)
     }
 }
