Answer lost and missing replies of the platform stand-in with 502

A 502 ends the exchange at once and is the same kind to the client. A new case keeps the other way covered: a connection that closes without an answer leaves a write unknown.

--- a/standin/src/main/kotlin/boragelever/standin/PlatformStandIn.kt
+++ b/standin/src/main/kotlin/boragelever/standin/PlatformStandIn.kt
@@ -122,7 +122,7 @@
             }
             is PlatformReply.Broken -> {
                 delay(reply.delayMillis)
-                respond(BrokenContent)
+                respondText("the stand-in loses this answer on purpose", status = HttpStatusCode.BadGateway)
             }
             else -> respondText("the stand-in refuses requests", status = HttpStatusCode.ServiceUnavailable)
         }
--- a/standin/src/test/kotlin/boragelever/standin/HttpPlatformTest.kt
+++ b/standin/src/test/kotlin/boragelever/standin/HttpPlatformTest.kt
@@ -33,7 +33,11 @@
 import org.junit.jupiter.params.provider.Arguments
 import org.junit.jupiter.params.provider.Arguments.arguments
 import org.junit.jupiter.params.provider.MethodSource
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.SocketException
 import java.nio.file.Path
+import kotlin.concurrent.thread
 import kotlin.io.path.createDirectory
 import kotlin.io.path.writeBytes
 import kotlin.io.path.writeText
@@ -86,6 +90,19 @@
             }
         }
 
+    /** Guards against taking a connection that closes without an answer for proof that the write did not run. */
+    @Test
+    fun `a connection that closes without an answer leaves a write unknown`() =
+        runBlocking {
+            ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+                thread(isDaemon = true) { server.closeEachConnection() }
+                HttpPlatform(NetworkAddress("127.0.0.1:${server.localPort}")).use { client ->
+                    assertEquals(LOST, failureKind(client.execute(INSERT)))
+                    assertEquals(UNAVAILABLE, failureKind(client.execute(READ)))
+                }
+            }
+        }
+
     @Test
     fun `a refused connection proves that the write did not run`() =
         runBlocking {
@@ -234,3 +251,12 @@
             )
     }
 }
+
+/** Reads the start of each request, so that it was sent, and closes; ends when the server is closed. */
+private fun ServerSocket.closeEachConnection() {
+    try {
+        while (true) accept().use { it.getInputStream().read(ByteArray(256)) }
+    } catch (_: SocketException) {
+        return
+    }
+}
