Show the folder's errors as the publisher sees them now

publisher.folder_errors was kept from notices, so it still showed the old error after a bad file was removed without a new version, or after the lease moved. It is derived from the publisher's state now. An orderly release of the lease is reported as a release and no longer as a warning, and the proxy logs with its fixed prefix.

--- a/core/src/main/kotlin/boragelever/core/control/HeldLeaseReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/HeldLeaseReducer.kt
@@ -24,7 +24,7 @@
                 is LeaseWriter.Confirming ->
                     state.answerTo(event, writer.request) { state.renewalConfirmed(lease, writer, it, event.stamp) }
                 is LeaseWriter.Releasing ->
-                    state.answerTo(event, writer.request) { state.loseLease(lease, null, event.stamp) }
+                    state.answerTo(event, writer.request) { state.releaseLease(lease, event.stamp) }
             }
     }
 }
@@ -33,6 +33,9 @@
 internal fun ControlState.loseLease(lease: LeaseState.Held, seen: SeenLease?, stamp: Stamp): Transition =
     observeLeaseAgain(seen, stamp).with(report(Notice.LeaseLost(lease.epoch)))
 
+private fun ControlState.releaseLease(lease: LeaseState.Held, stamp: Stamp): Transition =
+    observeLeaseAgain(null, stamp).with(report(Notice.LeaseReleased(lease.epoch)))
+
 /** The write of a renewed lease row; conditional on [LeaseState.Held.revision] wherever it is used. */
 internal fun ControlState.leaseWrite(lease: LeaseState.Held, durationMillis: Long = LEASE_DURATION_MILLIS): RowWrite =
     RowWrite.Put(StoreKeys.LEASE, RowValue.Lease(identity.node, lease.epoch, durationMillis, lastRequest))
--- a/core/src/main/kotlin/boragelever/core/control/Notice.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Notice.kt
@@ -24,6 +24,9 @@
 
     public data class LeaseLost(public val epoch: Epoch) : Notice
 
+    /** A stopping holder gave the lease back, so that another node takes it without waiting for its expiry. */
+    public data class LeaseReleased(public val epoch: Epoch) : Notice
+
     public data class StoreUnreachable(public val failure: StoreFailure) : Notice
 
     public data object StoreReachable : Notice
--- a/core/src/main/kotlin/boragelever/core/control/PublisherState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/PublisherState.kt
@@ -28,6 +28,13 @@
     public val unreadable: String? = null,
 )
 
+/** Why the folder, as this publisher last saw it, is not in force; empty if it is, or if another node publishes. */
+public val PublisherState.folderErrors: List<String>
+    get() = when (val outcome = judged?.outcome) {
+        is MergeOutcome.Rejected -> listOfNotNull(unreadable) + outcome.errors
+        is MergeOutcome.Merged, null -> listOfNotNull(unreadable)
+    }
+
 /** A merged folder. */
 public data class JudgedFolder(public val entries: List<FolderEntry>, public val outcome: MergeOutcome) {
     /** Digest over the names and entity tags of the files. */
--- a/node/src/main/kotlin/boragelever/node/NoticeCounts.kt
+++ b/node/src/main/kotlin/boragelever/node/NoticeCounts.kt
@@ -21,9 +21,6 @@
     /** The last applied configuration, or `null` before the first. */
     val lastApplied = AtomicReference<ConfigMoment?>(null)
 
-    /** Errors of the last folder that this node rejected while it published; empty after it published one. */
-    val folderErrors = AtomicReference<List<String>>(emptyList())
-
     fun count(notice: Notice) {
         when (notice) {
             is Notice.ConfigApplied -> {
@@ -34,14 +31,10 @@
             is Notice.ConfigPublished -> {
                 published.increment()
                 lastPublished.set(ConfigMoment(notice.id, clock.nowMillis()))
-                folderErrors.set(emptyList())
-            }
-            is Notice.FolderRejected -> {
-                rejectedFolders.increment()
-                folderErrors.set(notice.errors)
             }
-            is Notice.FolderUnreadable -> folderErrors.set(listOf(notice.message))
-            is Notice.PublishOverruled, is Notice.LeaseAcquired, is Notice.LeaseLost, is Notice.StoreUnreachable,
+            is Notice.FolderRejected -> rejectedFolders.increment()
+            is Notice.FolderUnreadable, is Notice.PublishOverruled, is Notice.LeaseAcquired, is Notice.LeaseLost,
+            is Notice.LeaseReleased, is Notice.StoreUnreachable,
             is Notice.StoreReachable, is Notice.StoreRefused, is Notice.MemberChanged, is Notice.Quarantined,
             is Notice.Resumed, is Notice.Draining,
             -> Unit
--- a/node/src/main/kotlin/boragelever/node/NoticeLog.kt
+++ b/node/src/main/kotlin/boragelever/node/NoticeLog.kt
@@ -38,6 +38,7 @@
         is Notice.PublishOverruled -> LogLine.Warning("[publish] a newer lease holder overruled ${notice.epoch}")
         is Notice.LeaseAcquired -> LogLine.Info("[lease] this node publishes in ${notice.epoch}")
         is Notice.LeaseLost -> LogLine.Warning("[lease] ${notice.epoch} is lost")
+        is Notice.LeaseReleased -> LogLine.Info("[lease] ${notice.epoch} is released")
         is Notice.StoreUnreachable -> LogLine.Warning("[store] the store cannot be reached: ${notice.failure.message}")
         is Notice.StoreReachable -> LogLine.Info("[store] the store answers")
         is Notice.StoreRefused -> LogLine.Warning("[store] the store refuses a command: ${notice.failure.message}")
--- a/node/src/main/kotlin/boragelever/node/StatusView.kt
+++ b/node/src/main/kotlin/boragelever/node/StatusView.kt
@@ -7,6 +7,7 @@
 import boragelever.core.control.MemberStatus
 import boragelever.core.control.StoreView
 import boragelever.core.control.ageMillis
+import boragelever.core.control.folderErrors
 import boragelever.node.admin.AddressStatus
 import boragelever.node.admin.ConfigStatus
 import boragelever.node.admin.MemberStatusLine
@@ -83,7 +84,7 @@
                     is LeaseState.Acquiring -> view.attempt.seen?.epoch
                     is LeaseState.ConfirmingAcquisition -> view.attempt.seen?.epoch
                 }?.value,
-            folderErrors = notices.folderErrors.get(),
+            folderErrors = publisher.folderErrors,
         )
     }
 
--- a/node/src/main/kotlin/boragelever/node/proxy/ClaimStore.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ClaimStore.kt
@@ -91,7 +91,7 @@
                 throw cancelled
             } catch (failure: Exception) {
                 // Calls would wait for ever for an operation that no one executes.
-                log.error(failure) { "calls: the platform failed unexpectedly; the claims of this batch are refused" }
+                log.error(failure) { "[proxy] the platform failed unexpectedly; the claims of this batch are refused" }
                 fail(batch)
             }
         }
@@ -144,7 +144,7 @@
             if (attempt()) return
             delay(FIRST_UPDATE_DELAY_MILLIS shl number)
         }
-        log.warn { "calls: claim ${claim.row} could not be updated; a repeat is answered with outcome unknown" }
+        log.warn { "[proxy] claim ${claim.row} could not be updated; a repeat is answered with outcome unknown" }
     }
 
     private suspend fun update(claim: HeldClaim, write: RowWrite): Boolean =
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
@@ -62,7 +62,7 @@
     private val threads = namedPool(settings.threads, "traffic")
     private val selector = ActorSelectorManager(selectorThread)
     private val unexpected = CoroutineExceptionHandler { _, failure ->
-        log.error(failure) { "calls: a connection was closed after an unexpected failure" }
+        log.error(failure) { "[proxy] a connection was closed after an unexpected failure" }
     }
     private val scope = CoroutineScope(SupervisorJob() + threads + unexpected)
     private val pool = ConnectionPool(settings, selector, clock)
@@ -113,7 +113,7 @@
                 try {
                     serve(listener.accept(), kind)
                 } catch (failure: IOException) {
-                    log.warn { "calls: a connection could not be accepted: ${failure.message}" }
+                    log.warn { "[proxy] a connection could not be accepted: ${failure.message}" }
                     delay(ACCEPT_PAUSE_MILLIS)
                 }
             }
--- a/standin/src/main/kotlin/boragelever/standin/UpstreamAnnouncer.kt
+++ b/standin/src/main/kotlin/boragelever/standin/UpstreamAnnouncer.kt
@@ -57,7 +57,7 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            LOG.debug { "standin: node at $admin was not told about the upstream: ${e.message}" }
+            LOG.debug { "[standin] node at $admin was not told about the upstream: ${e.message}" }
             false
         }
 
