--- a/app/src/main/kotlin/boragelever/app/Arguments.kt
+++ b/app/src/main/kotlin/boragelever/app/Arguments.kt
@@ -142,7 +142,7 @@
 private fun BindingScope<UsageError>.checkCommand(flags: CheckFlags): Command {
     val folder = flags.arguments.singleOrNull()
     if (folder == null) Err(UsageError("check needs one FOLDER; give the path of the folder")).bind()
-    return Command.CheckFolder(Path.of(folder.orEmpty()), output(flags), flags.printMerged)
+    return Command.CheckFolder(Path.of(folder.orEmpty()), output(flags), flags.quiet)
 }
 
 private fun BindingScope<UsageError>.diffCommand(flags: DiffFlags): Command {
--- a/app/src/main/kotlin/boragelever/app/Command.kt
+++ b/app/src/main/kotlin/boragelever/app/Command.kt
@@ -16,7 +16,7 @@
     ) : Command
 
     /** Merges and validates a folder. */
-    data class CheckFolder(val folder: Path, val output: OutputFormat, val printMerged: Boolean) : Command
+    data class CheckFolder(val folder: Path, val output: OutputFormat, val quiet: Boolean) : Command
 
     /** Shows what a change from one folder to another does. */
     data class DiffFolders(val from: Path, val to: Path, val output: OutputFormat) : Command
--- a/app/src/main/kotlin/boragelever/app/Flags.kt
+++ b/app/src/main/kotlin/boragelever/app/Flags.kt
@@ -93,8 +93,8 @@
 }
 
 internal class CheckFlags : ResultFlags() {
-    @Option(name = "--print-merged", usage = "Prints the merged configuration as YAML.")
-    var printMerged: Boolean = false
+    @Option(name = "--quiet", usage = "Prints one line in place of the merged configuration.")
+    var quiet: Boolean = false
 
     @Argument(metaVar = "FOLDER", usage = "Folder of configuration files.")
     var arguments: MutableList<String> = mutableListOf()
--- a/app/src/main/kotlin/boragelever/app/FolderCommands.kt
+++ b/app/src/main/kotlin/boragelever/app/FolderCommands.kt
@@ -108,14 +108,15 @@
     val services = folder.configuration.services.size
     val routes = folder.configuration.routes.size
     val digest = folder.document.digest().value
+    val summary = "${command.folder} is valid: services $services, routes $routes, digest $digest"
     return when {
-        command.printMerged -> renderYaml(folder.tree).trimEnd()
         command.output == OutputFormat.JSON ->
             resultJson.encodeToString(
                 CheckResult.serializer(),
                 CheckResult(valid = true, digest, services, routes, emptyList()),
             )
-        else -> "${command.folder} is valid: services $services, routes $routes, digest $digest"
+        command.quiet -> summary
+        else -> "# $summary\n${renderYaml(folder.tree)}".trimEnd()
     }
 }
 
--- a/app/src/test/kotlin/boragelever/app/ArgumentsTest.kt
+++ b/app/src/test/kotlin/boragelever/app/ArgumentsTest.kt
@@ -24,7 +24,7 @@
             "$NODE | | RunNode |",
             "status | | ShowStatus |",
             "check x | | CheckFolder |",
-            "check x --print-merged --output json | | CheckFolder |",
+            "check x --quiet --output json | | CheckFolder |",
             "diff x y | | DiffFolders |",
             "platform --for-seconds 1 | | RunPlatform |",
             "upstream --service s --instance i | | RunUpstream |",
@@ -39,8 +39,8 @@
             "$NODE --traffic-threads 0 | | | --traffic-threads: '0' is not allowed; give a whole number from 1 to 64",
             "dev --folder /none | | | --folder: '/none' is not allowed; give an existing directory",
             "status --output xml | | | --output: 'xml' is not allowed; give one of text, json",
-            "check x | PRINT_MERGED=1 | | " +
-                "BORAGELEVER_PRINT_MERGED for --print-merged: '1' is not allowed; give true or false",
+            "check x | QUIET=1 | | " +
+                "BORAGELEVER_QUIET for --quiet: '1' is not allowed; give true or false",
         ],
         delimiter = '|',
     )
--- a/app/src/test/kotlin/boragelever/app/CommandsTest.kt
+++ b/app/src/test/kotlin/boragelever/app/CommandsTest.kt
@@ -54,7 +54,7 @@
         val from = folder("from", first)
         val outcome =
             if (second == null) {
-                checkFolder(Command.CheckFolder(from, output, printMerged = false))
+                checkFolder(Command.CheckFolder(from, output, quiet = false))
             } else {
                 diffFolders(Command.DiffFolders(from, folder("to", second), output))
             }
