Let calls overflow into other regions by default

The test case for last_resort names that setting now instead of relying on the default; its expectation is unchanged.

--- a/core/src/main/kotlin/boragelever/core/config/Configuration.kt
+++ b/core/src/main/kotlin/boragelever/core/config/Configuration.kt
@@ -47,7 +47,7 @@
 public data class LocalityConfig(
     /** Share of busy slots in a tier at which calls begin to overflow into the next tier. */
     public val spillPercent: Int = 80,
-    public val crossRegion: CrossRegion = CrossRegion.LAST_RESORT,
+    public val crossRegion: CrossRegion = CrossRegion.SPILL,
 )
 
 /** Whether calls may leave their region. */
--- a/core/src/test/kotlin/boragelever/core/routing/EndpointSelectionTest.kt
+++ b/core/src/test/kotlin/boragelever/core/routing/EndpointSelectionTest.kt
@@ -84,7 +84,12 @@
             ),
             Case("a full zone keeps its calls", mapOf("z1" to 10, "r1" to 0), shares = mapOf("r1" to ALL)),
             Case("a busy zone overflows into a full one", mapOf("z1" to 9, "r1" to 10), shares = mapOf("z1" to ALL)),
-            Case("a call crosses regions too early", mapOf("z1" to 10, "o1" to 0), shares = mapOf("z1" to ALL)),
+            Case(
+                "a call crosses regions too early",
+                mapOf("z1" to 10, "o1" to 0),
+                across(CrossRegion.LAST_RESORT),
+                shares = mapOf("z1" to ALL),
+            ),
             Case("a lost region loses its calls", mapOf("o1" to 0), shares = mapOf("o1" to ALL)),
             Case("a call leaves its region", mapOf("o1" to 0), across(CrossRegion.NEVER), shares = emptyMap()),
             Case(
