Carry messages between nodes on one socket loop

Cause: Ktor's raw sockets hand each read and write to threads of the I/O dispatcher and select on a thread of their own. In a trace of system calls a node at rest made about 500 thread wake-ups a second.

Change: the loop, sockets and buffered input of the traffic threads move to a package of their own (boragelever.node.net), and the peer transport uses them with one thread. Parsing of HTTP heads stays with the proxy.

--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -43,7 +43,7 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Threads for peers, store and folder; few, since a node shares its host with an upstream. */
+/** Threads for the store and the folder; few, since a node shares its host with an upstream. */
 private const val CONTROL_IO_THREADS = 2
 
 private const val DRAIN_POLL_MILLIS = 50L
@@ -95,7 +95,6 @@
             NodePeerListener(),
             clock,
             Random(settings.seed),
-            dispatcher,
         )
     private val tracing = Tracing(settings)
     private val proxy: ProxyServer =
--- a/node/src/main/kotlin/boragelever/node/proxy/TrafficSocket.kt
+++ b/node/src/main/kotlin/boragelever/node/net/LoopSocket.kt
@@ -1,4 +1,4 @@
-package boragelever.node.proxy
+package boragelever.node.net
 
 import kotlinx.coroutines.DisposableHandle
 import java.io.IOException
@@ -13,7 +13,7 @@
 private const val RECEIVER_TIMEOUT_MILLIS = 60_000L
 
 /**
- * A TCP connection on a [TrafficLoop].
+ * A TCP connection on a [SocketLoop].
  *
  * Ktor's own sockets read up to 1 MiB ahead and queue up to 1 MiB of writes, so a few dozen slow downloads would exceed
  * the heap of a node, and they do not tell whether a byte left the process, which the outcome `not-run` depends on.
@@ -22,7 +22,7 @@
  * The suspending functions have no loops: the JVM's client compiler refuses loops around suspension, and an interpreted
  * read or write takes longer than its system call.
  */
-internal class TrafficSocket(private val channel: SocketChannel, val loop: TrafficLoop) {
+internal class LoopSocket(private val channel: SocketChannel, val loop: SocketLoop) {
     /** Bytes handed to the operating system so far. */
     @Volatile
     var sentBytes: Long = 0
@@ -64,6 +64,20 @@
         channel.finishConnect()
     }
 
+    /** As [connect], and closes the socket if that fails. */
+    suspend fun connectOrClose(address: InetSocketAddress, limitMillis: Long = 0) {
+        var connected = false
+        try {
+            connect(address, limitMillis)
+            connected = true
+        } finally {
+            if (!connected) close()
+        }
+    }
+
+    /** Address of the other side, for people. */
+    val remoteAddress: String get() = if (channel.isOpen) channel.remoteAddress.toString() else "a closed connection"
+
     /** Tells the other side that nothing more is sent. */
     fun endOutput() {
         channel.shutdownOutput()
@@ -87,8 +101,8 @@
     }
 }
 
-/** A listening port on a [TrafficLoop]. */
-internal class TrafficListener(private val channel: ServerSocketChannel, private val loop: TrafficLoop) {
+/** A listening port on a [SocketLoop]. */
+internal class LoopListener(private val channel: ServerSocketChannel, private val loop: SocketLoop) {
     /** Port on which it listens. */
     val port: Int get() = channel.socket().localPort
 
@@ -110,7 +124,7 @@
 /** Connections that the operating system holds until they are accepted. */
 private const val BACKLOG = 512
 
-internal fun listen(address: InetSocketAddress, loop: TrafficLoop): TrafficListener {
+internal fun listen(address: InetSocketAddress, loop: SocketLoop): LoopListener {
     val channel = ServerSocketChannel.open()
     channel.setOption(StandardSocketOptions.SO_REUSEADDR, true)
     channel.configureBlocking(false)
@@ -120,5 +134,5 @@
         channel.close()
         throw failure
     }
-    return TrafficListener(channel, loop)
+    return LoopListener(channel, loop)
 }
--- a/node/src/main/kotlin/boragelever/node/proxy/ReadyWaiters.kt
+++ b/node/src/main/kotlin/boragelever/node/net/ReadyWaiters.kt
@@ -1,4 +1,4 @@
-package boragelever.node.proxy
+package boragelever.node.net
 
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.DisposableHandle
--- a/node/src/main/kotlin/boragelever/node/proxy/SocketInput.kt
+++ b/node/src/main/kotlin/boragelever/node/net/SocketInput.kt
@@ -1,17 +1,11 @@
-package boragelever.node.proxy
+package boragelever.node.net
 
 import kotlinx.coroutines.DisposableHandle
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.ByteBuffer
 import java.util.concurrent.TimeUnit
 
 private val NO_BUFFER: ByteBuffer = ByteBuffer.allocate(0)
-private const val LINE_FEED = '\n'.code.toByte()
-private const val CARRIAGE_RETURN = '\r'.code.toByte()
-
-/** A message breaks the rules of HTTP/1.1 or a limit. [statusCode] is the answer if it is a request. */
-internal class MalformedMessage(val statusCode: Int, message: String) : IOException(message)
 
 /** The other side ended the connection inside a message. */
 internal class ConnectionEnded : IOException("the connection ended inside a message")
@@ -43,13 +37,16 @@
     }
 }
 
-/** Buffered reading from a socket; holds at most [TrafficLoop.BUFFER_BYTES] ahead of the reader. */
-internal class SocketInput(private val socket: TrafficSocket) {
+/** Buffered reading from a socket; holds at most [SocketLoop.BUFFER_BYTES] ahead of the reader. */
+internal class SocketInput(private val socket: LoopSocket) {
     private var buffer: ByteBuffer = NO_BUFFER
 
     /** Bound of the waits from now on; a wait beyond it throws [ConnectionSilent]. */
     var waitBound: WaitBound = WaitBound.NONE
 
+    /** Bytes at hand without waiting. */
+    val buffered: ByteBuffer get() = buffer
+
     /** True if bytes are at hand without waiting. */
     val hasBuffered: Boolean get() = buffer.hasRemaining()
 
@@ -126,78 +123,4 @@
         buffer.get(target, offset, count)
         return count
     }
-
-    /** Reads up to and including the empty line that ends the head of a message. */
-    suspend fun readHead(maxBytes: Int): ByteArray {
-        skipEmptyLine()
-        var whole: ByteArray? = null
-        val scan = HeadScan()
-        while (true) {
-            if (!awaitByte()) throw ConnectionEnded()
-            val from = buffer.position()
-            val ended = scan.advance(buffer)
-            val part = ByteArray(buffer.position() - from)
-            buffer.get(from, part)
-            val collected = whole?.plus(part) ?: part
-            if (collected.size > maxBytes) throw MalformedMessage(HEADERS_TOO_LARGE, "the head exceeds the limit")
-            if (ended) return collected
-            whole = collected
-        }
-    }
-
-    /** One empty line before the first is allowed and left out. */
-    private suspend fun skipEmptyLine() {
-        if (!awaitByte()) throw ConnectionEnded()
-        if (buffer.get(buffer.position()) != CARRIAGE_RETURN) return
-        buffer.get()
-        if (!awaitByte()) throw ConnectionEnded()
-        if (buffer.get() != LINE_FEED) throw MalformedMessage(BAD_REQUEST, "a CR stands alone")
-    }
-
-    /** Reads one line of at most [maxBytes] as text without its end. */
-    suspend fun readLine(maxBytes: Int): String {
-        val line = ByteArrayOutputStream(32)
-        collectLine(line, maxBytes)
-        val bytes = line.toByteArray()
-        val end = bytes.size - 2
-        if (end < 0 || bytes[end] != CARRIAGE_RETURN) throw MalformedMessage(BAD_REQUEST, "a line ends without CR")
-        return String(bytes, 0, end, Charsets.ISO_8859_1)
-    }
-
-    private suspend fun collectLine(line: ByteArrayOutputStream, maxBytes: Int) {
-        if (!awaitByte()) throw ConnectionEnded()
-        if (!takeLine(line, maxBytes)) collectLine(line, maxBytes)
-    }
-
-    /** Appends what is at hand of a line; returns true at its end. */
-    private fun takeLine(line: ByteArrayOutputStream, maxBytes: Int): Boolean {
-        while (buffer.hasRemaining()) {
-            val byte = buffer.get()
-            if (line.size() >= maxBytes) throw MalformedMessage(HEADERS_TOO_LARGE, "the head exceeds the limit")
-            line.write(byte.toInt())
-            if (byte == LINE_FEED) return true
-        }
-        return false
-    }
-}
-
-/** Finds the empty line that ends a head, also across reads. */
-private class HeadScan {
-    private var lineBytes = 0
-    private var last: Byte = 0
-
-    /** Moves [buffer] behind the empty line and returns true, or to its end and returns false. */
-    fun advance(buffer: ByteBuffer): Boolean {
-        while (buffer.hasRemaining()) {
-            val byte = buffer.get()
-            if (byte == LINE_FEED) {
-                if (lineBytes == 1 && last == CARRIAGE_RETURN) return true
-                lineBytes = 0
-            } else {
-                lineBytes += 1
-            }
-            last = byte
-        }
-        return false
-    }
 }
--- a/node/src/main/kotlin/boragelever/node/proxy/TrafficLoop.kt
+++ b/node/src/main/kotlin/boragelever/node/net/SocketLoop.kt
@@ -1,4 +1,4 @@
-package boragelever.node.proxy
+package boragelever.node.net
 
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.CoroutineDispatcher
@@ -29,7 +29,7 @@
  * called on this thread only; [dispatch] may be called from any thread.
  */
 @OptIn(InternalCoroutinesApi::class, ExperimentalCoroutinesApi::class)
-internal class TrafficLoop(name: String) : CoroutineDispatcher(), Delay, AutoCloseable {
+internal class SocketLoop(name: String) : CoroutineDispatcher(), Delay, AutoCloseable {
     private val selector = Selector.open()
     private val tasks = ConcurrentLinkedQueue<Runnable>()
     private val timers = PriorityQueue<Timer>(compareBy { it.atNanos - startNanos })
--- a/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerConnection.kt
@@ -3,21 +3,15 @@
 import boragelever.core.NodeId
 import boragelever.core.control.MemberRecord
 import boragelever.core.control.PeerMessage
+import boragelever.node.net.LoopSocket
+import boragelever.node.net.SocketInput
 import boragelever.wire.FrameError
 import boragelever.wire.LENGTH_FIELD_BYTES
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.cancel
-import io.ktor.utils.io.readFully
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.Job
+import java.nio.ByteBuffer
 
 /** Why a connection ended. */
 internal sealed interface CloseReason {
@@ -40,34 +34,40 @@
     data class Refused(val error: FrameError) : CloseReason
 }
 
-/** A socket that carries frames. */
-internal class FrameSocket(private val socket: Socket) {
-    private val input: ByteReadChannel = socket.openReadChannel()
-    private val output: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
+/** A socket that carries frames. Everything but [close] is called on the thread of the socket's loop. */
+internal class FrameSocket(private val socket: LoopSocket) {
+    private val input = SocketInput(socket)
+
+    /** Address of the peer, for people. */
+    val remoteAddress: String get() = socket.remoteAddress
 
     /** Reads the payload of one frame of at most [maxBytes]; throws when the connection ends. */
     suspend fun read(maxBytes: Int): Result<ByteArray, FrameError> {
-        val sizeBytes = input.readInt()
+        input.trim()
+        val sizeBytes = ByteBuffer.wrap(readFully(LENGTH_FIELD_BYTES)).getInt()
         if (sizeBytes !in 0..maxBytes) return Err(FrameError.Oversized(sizeBytes))
-        val payload = ByteArray(sizeBytes)
-        input.readFully(payload)
-        return Ok(payload)
+        return Ok(readFully(sizeBytes))
+    }
+
+    private suspend fun readFully(sizeBytes: Int): ByteArray {
+        val bytes = ByteArray(sizeBytes)
+        var count = 0
+        while (count < sizeBytes) count += input.read(bytes, count, sizeBytes - count)
+        return bytes
     }
 
     /** Writes one frame with its length field; throws when the connection ends. */
     suspend fun write(frame: ByteArray) {
-        output.writeFully(frame)
-        output.flush()
+        socket.write(ByteBuffer.wrap(frame))
     }
 
     /** Ends the connection in the direction to the peer; the peer reads what was written before. */
-    suspend fun endOutput() {
-        output.flushAndClose()
+    fun endOutput() {
+        socket.endOutput()
     }
 
     /** Ends the connection in both directions. */
     fun close() {
-        input.cancel()
         socket.close()
     }
 }
--- a/node/src/main/kotlin/boragelever/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerTransport.kt
@@ -9,25 +9,25 @@
 import boragelever.core.control.take
 import boragelever.core.control.waitMillis
 import boragelever.node.Clock
+import boragelever.node.net.LoopListener
+import boragelever.node.net.LoopSocket
+import boragelever.node.net.SocketLoop
+import boragelever.node.net.listen
 import boragelever.wire.ConnectionEnd
 import boragelever.wire.SharedKey
 import com.github.michaelbull.result.fold
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.port
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
+import java.net.InetSocketAddress
+import java.nio.channels.SocketChannel
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.LongAdder
@@ -85,32 +85,38 @@
     public val droppedMessages: Long,
 )
 
-/** Carries messages between nodes over TCP, with at most one connection in use to each peer. */
+/**
+ * Carries messages between nodes over TCP, with at most one connection in use to each peer.
+ *
+ * All connections run on one thread. Ktor's sockets hand each read and write to threads of the I/O dispatcher, whose
+ * wake-ups were most of what a node at rest did.
+ */
 public class PeerTransport(
     private val settings: TransportSettings,
     private val listener: PeerListener,
     private val clock: Clock,
     private val random: Random,
-    dispatcher: CoroutineDispatcher,
 ) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val loop = SocketLoop("peers-${settings.node}")
+    private val job = SupervisorJob()
+    private val scope = CoroutineScope(job + loop)
     private val links = ConcurrentHashMap<NodeId, PeerLink>()
     private val contacts: MutableSet<NetworkAddress> = ConcurrentHashMap.newKeySet()
     private val accepted = AtomicInteger()
     private val dropped = LongAdder()
     private val bytes = TrafficBytes()
     private val sessions = PeerSessions(listener, clock)
-    private var server: ServerSocket? = null
+    private var server: LoopListener? = null
 
     /** Figures as of now. */
     public val figures: TransportFigures
         get() = TransportFigures(bytes.current, links.values.count { it.current != null }, dropped.sum())
 
     /** Opens the port and returns its number. Fails with [IOException] if it is taken. */
-    public suspend fun bind(): Int {
-        val bound = aSocket(selector).tcp().bind(settings.bindHost, settings.port) { reuseAddress = true }
+    public fun bind(): Int {
+        val bound = listen(InetSocketAddress(settings.bindHost, settings.port), loop)
         server = bound
+        loop.start()
         return bound.port
     }
 
@@ -154,16 +160,16 @@
     }
 
     override fun close() {
-        scope.cancel()
+        runBlocking { job.cancelAndJoin() }
         server?.close()
         links.values.forEach { it.current?.close(CloseReason.Requested) }
-        selector.close()
+        loop.close()
     }
 
-    private suspend fun acceptAll(bound: ServerSocket) {
+    private suspend fun acceptAll(bound: LoopListener) {
         var bucket = TokenBucket(ACCEPTS_PER_SECOND, ACCEPT_BURST)
         while (true) {
-            val socket = bound.accept()
+            val socket = LoopSocket(bound.accept(), loop)
             if (accepted.get() >= MAX_ACCEPTED) {
                 socket.close()
                 continue
@@ -206,7 +212,8 @@
         val (host, port) = address.hostAndPort()
         return withTimeoutOrNull(DIAL_TIMEOUT_MILLIS) {
             try {
-                val socket = aSocket(selector).tcp().connect(host, port) { noDelay = true }
+                val socket = LoopSocket(SocketChannel.open(), loop)
+                socket.connectOrClose(InetSocketAddress(host, port))
                 open(socket, ConnectionEnd.DIALLER)
             } catch (e: IOException) {
                 log.debug { "[peer] $address does not answer: ${e.message}" }
@@ -216,7 +223,7 @@
     }
 
     /** Shakes hands on a new [socket]; closes it and returns `null` if the peer is not to be talked to. */
-    private suspend fun open(socket: Socket, end: ConnectionEnd): PeerConnection? {
+    private suspend fun open(socket: LoopSocket, end: ConnectionEnd): PeerConnection? {
         val frames = FrameSocket(socket)
         var connection: PeerConnection? = null
         try {
--- a/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
@@ -10,6 +10,7 @@
 import boragelever.core.call.FailureKind
 import boragelever.core.call.Outcome
 import boragelever.core.call.RefusalReason
+import boragelever.node.net.ConnectionSilent
 import com.github.michaelbull.result.onErr
 import com.github.michaelbull.result.onOk
 import kotlinx.coroutines.CoroutineScope
--- a/node/src/main/kotlin/boragelever/node/proxy/CallBody.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/CallBody.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.call.RequestBody
 import boragelever.core.sha256
+import boragelever.node.net.ConnectionSilent
 import java.io.ByteArrayOutputStream
 
 /** Size of the pieces in which bodies are passed on. */
--- a/node/src/main/kotlin/boragelever/node/proxy/ConnectionLoop.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ConnectionLoop.kt
@@ -2,6 +2,10 @@
 
 import boragelever.core.call.Outcome
 import boragelever.core.config.LimitsConfig
+import boragelever.node.net.ConnectionSilent
+import boragelever.node.net.LoopSocket
+import boragelever.node.net.SocketInput
+import boragelever.node.net.WaitBound
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 
@@ -12,7 +16,7 @@
 internal class ConnectionLoop(
     private val context: TrafficContext,
     private val kind: HopKind,
-    private val socket: TrafficSocket,
+    private val socket: LoopSocket,
 ) {
     private val input = SocketInput(socket)
     private val settings = context.settings
--- a/node/src/main/kotlin/boragelever/node/proxy/ConnectionPool.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ConnectionPool.kt
@@ -1,6 +1,10 @@
 package boragelever.node.proxy
 
 import boragelever.core.NetworkAddress
+import boragelever.node.net.ConnectionSilent
+import boragelever.node.net.LoopSocket
+import boragelever.node.net.SocketInput
+import boragelever.node.net.SocketLoop
 import kotlinx.coroutines.delay
 import java.io.IOException
 import java.net.InetSocketAddress
@@ -10,7 +14,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque
 
 /** A connection to a node or an upstream. */
-internal class PooledConnection(val socket: TrafficSocket, val target: NetworkAddress, val openedAtMillis: Long) {
+internal class PooledConnection(val socket: LoopSocket, val target: NetworkAddress, val openedAtMillis: Long) {
     val input = SocketInput(socket)
 
     /** True if a response to another request arrived on it. */
@@ -31,7 +35,7 @@
 /** Unused connections of one traffic thread to nodes and upstreams, the most recently used first. */
 internal class ConnectionPool(
     private val settings: ProxySettings,
-    private val loop: TrafficLoop,
+    private val loop: SocketLoop,
     private val clock: TrafficClock,
 ) {
     private val idle = ConcurrentHashMap<NetworkAddress, ConcurrentLinkedDeque<PooledConnection>>()
@@ -53,15 +57,11 @@
 
     /** Opens a new connection. */
     suspend fun open(target: NetworkAddress): PooledConnection {
-        val socket = TrafficSocket(SocketChannel.open(), loop)
+        val socket = LoopSocket(SocketChannel.open(), loop)
         try {
-            socket.connect(socketAddress(target), settings.connectTimeoutMillis)
+            socket.connectOrClose(socketAddress(target), settings.connectTimeoutMillis)
         } catch (_: ConnectionSilent) {
-            socket.close()
             throw SocketTimeoutException("no connection to $target in ${settings.connectTimeoutMillis} ms")
-        } catch (failure: Throwable) {
-            socket.close()
-            throw failure
         }
         return PooledConnection(socket, target, clock.nowMillis())
     }
--- a/node/src/main/kotlin/boragelever/node/proxy/EventInbox.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/EventInbox.kt
@@ -1,11 +1,12 @@
 package boragelever.node.proxy
 
+import boragelever.node.net.SocketLoop
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlin.coroutines.resume
 
 /**
- * Events of one call in their order. All functions are called on the thread of the call's [TrafficLoop].
+ * Events of one call in their order. All functions are called on the thread of the call's [SocketLoop].
  *
  * A channel of the coroutine library is safe between threads, which a call does not need and pays for with each event.
  */
--- a/node/src/main/kotlin/boragelever/node/proxy/Exchange.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/Exchange.kt
@@ -3,6 +3,9 @@
 import boragelever.core.NetworkAddress
 import boragelever.core.call.AttemptFailure
 import boragelever.core.call.FailureKind
+import boragelever.node.net.ConnectionEnded
+import boragelever.node.net.ConnectionSilent
+import boragelever.node.net.WaitBound
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
--- a/node/src/main/kotlin/boragelever/node/proxy/HttpBody.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/HttpBody.kt
@@ -1,5 +1,7 @@
 package boragelever.node.proxy
 
+import boragelever.node.net.LoopSocket
+import boragelever.node.net.SocketInput
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.ByteBuffer
@@ -89,7 +91,7 @@
 private fun Char.isHexDigit(): Boolean = this in '0'..'9' || this in 'a'..'f' || this in 'A'..'F'
 
 /** Writes a body so that the receiver can tell a whole one from one that broke off. */
-internal class BodyWriter(private val socket: TrafficSocket, private val framing: BodyFraming) {
+internal class BodyWriter(private val socket: LoopSocket, private val framing: BodyFraming) {
     private var left: Long = if (framing is BodyFraming.Sized) framing.bytes else 0
 
     /** Writes [head] and [length] bytes of [bytes] with as few packets as possible. */
--- /dev/null
+++ b/node/src/main/kotlin/boragelever/node/proxy/HttpInput.kt
@@ -0,0 +1,87 @@
+package boragelever.node.proxy
+
+import boragelever.node.net.ConnectionEnded
+import boragelever.node.net.SocketInput
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.nio.ByteBuffer
+
+private const val LINE_FEED = '\n'.code.toByte()
+private const val CARRIAGE_RETURN = '\r'.code.toByte()
+
+/** A message breaks the rules of HTTP/1.1 or a limit. [statusCode] is the answer if it is a request. */
+internal class MalformedMessage(val statusCode: Int, message: String) : IOException(message)
+
+/** Reads up to and including the empty line that ends the head of a message. */
+internal suspend fun SocketInput.readHead(maxBytes: Int): ByteArray {
+    skipEmptyLine()
+    var whole: ByteArray? = null
+    val scan = HeadScan()
+    while (true) {
+        if (!awaitByte()) throw ConnectionEnded()
+        val from = buffered.position()
+        val ended = scan.advance(buffered)
+        val part = ByteArray(buffered.position() - from)
+        buffered.get(from, part)
+        val collected = whole?.plus(part) ?: part
+        if (collected.size > maxBytes) throw MalformedMessage(HEADERS_TOO_LARGE, "the head exceeds the limit")
+        if (ended) return collected
+        whole = collected
+    }
+}
+
+/** One empty line before the first is allowed and left out. */
+private suspend fun SocketInput.skipEmptyLine() {
+    if (!awaitByte()) throw ConnectionEnded()
+    if (buffered.get(buffered.position()) != CARRIAGE_RETURN) return
+    buffered.get()
+    if (!awaitByte()) throw ConnectionEnded()
+    if (buffered.get() != LINE_FEED) throw MalformedMessage(BAD_REQUEST, "a CR stands alone")
+}
+
+/** Reads one line of at most [maxBytes] as text without its end. */
+internal suspend fun SocketInput.readLine(maxBytes: Int): String {
+    val line = ByteArrayOutputStream(32)
+    collectLine(line, maxBytes)
+    val bytes = line.toByteArray()
+    val end = bytes.size - 2
+    if (end < 0 || bytes[end] != CARRIAGE_RETURN) throw MalformedMessage(BAD_REQUEST, "a line ends without CR")
+    return String(bytes, 0, end, Charsets.ISO_8859_1)
+}
+
+private suspend fun SocketInput.collectLine(line: ByteArrayOutputStream, maxBytes: Int) {
+    if (!awaitByte()) throw ConnectionEnded()
+    if (!takeLine(line, maxBytes)) collectLine(line, maxBytes)
+}
+
+/** Appends what is at hand of a line; returns true at its end. */
+private fun SocketInput.takeLine(line: ByteArrayOutputStream, maxBytes: Int): Boolean {
+    while (buffered.hasRemaining()) {
+        val byte = buffered.get()
+        if (line.size() >= maxBytes) throw MalformedMessage(HEADERS_TOO_LARGE, "the head exceeds the limit")
+        line.write(byte.toInt())
+        if (byte == LINE_FEED) return true
+    }
+    return false
+}
+
+/** Finds the empty line that ends a head, also across reads. */
+private class HeadScan {
+    private var lineBytes = 0
+    private var last: Byte = 0
+
+    /** Moves [buffer] behind the empty line and returns true, or to its end and returns false. */
+    fun advance(buffer: ByteBuffer): Boolean {
+        while (buffer.hasRemaining()) {
+            val byte = buffer.get()
+            if (byte == LINE_FEED) {
+                if (lineBytes == 1 && last == CARRIAGE_RETURN) return true
+                lineBytes = 0
+            } else {
+                lineBytes += 1
+            }
+            last = byte
+        }
+        return false
+    }
+}
--- a/node/src/main/kotlin/boragelever/node/proxy/HttpMessage.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/HttpMessage.kt
@@ -1,5 +1,7 @@
 package boragelever.node.proxy
 
+import boragelever.node.net.SocketInput
+
 internal const val BAD_REQUEST: Int = 400
 internal const val REQUEST_TIMEOUT: Int = 408
 internal const val TOO_LARGE: Int = 413
--- a/node/src/main/kotlin/boragelever/node/proxy/IncomingCall.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/IncomingCall.kt
@@ -7,6 +7,7 @@
 import boragelever.core.call.CallRequest
 import boragelever.core.call.CallState
 import boragelever.core.call.HopRequest
+import boragelever.node.net.SocketInput
 
 /** A request whose head has been read. */
 internal class IncomingCall(
--- a/node/src/main/kotlin/boragelever/node/proxy/LocalPort.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/LocalPort.kt
@@ -1,5 +1,8 @@
 package boragelever.node.proxy
 
+import boragelever.node.net.LoopSocket
+import boragelever.node.net.SocketInput
+import boragelever.node.net.WaitBound
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import java.io.IOException
@@ -22,7 +25,7 @@
 }
 
 /** Serves the requests of one connection to a local port, one after the other. */
-internal class LocalConnection(private val socket: TrafficSocket, private val handler: LocalHandler) {
+internal class LocalConnection(private val socket: LoopSocket, private val handler: LocalHandler) {
     private val input = SocketInput(socket)
 
     suspend fun run() {
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
@@ -1,6 +1,10 @@
 package boragelever.node.proxy
 
 import boragelever.core.config.LimitsConfig
+import boragelever.node.net.LoopListener
+import boragelever.node.net.LoopSocket
+import boragelever.node.net.SocketLoop
+import boragelever.node.net.listen
 import boragelever.platform.Platform
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineExceptionHandler
@@ -68,14 +72,14 @@
         claims = ClaimStore(platform, settings.node, clock),
         locals = LocalUpstreams(clock, observer),
     )
-    private val workers = List(settings.threads) { Worker(TrafficLoop("traffic-${it + 1}")) }
+    private val workers = List(settings.threads) { Worker(SocketLoop("traffic-${it + 1}")) }
     private val first = workers.first()
     private val accepted = AtomicInteger()
     private val connections = HopKind.entries.associateWith { AtomicInteger() }
-    private val listeners = mutableListOf<TrafficListener>()
+    private val listeners = mutableListOf<LoopListener>()
 
     /** One traffic thread with the connections that it has opened. */
-    private inner class Worker(val loop: TrafficLoop) {
+    private inner class Worker(val loop: SocketLoop) {
         val scope = CoroutineScope(job + loop + unexpected)
         val pool = ConnectionPool(settings, loop, shared.clock)
         val context = TrafficContext(shared, loop, pool, scope)
@@ -110,7 +114,7 @@
     }
 
     /** Opens [port] after others; all of them are closed if it is taken. */
-    private fun open(port: Int): TrafficListener =
+    private fun open(port: Int): LoopListener =
         try {
             listen(InetSocketAddress(settings.bindHost, port), first.loop).also { listeners += it }
         } catch (failure: IOException) {
@@ -119,10 +123,10 @@
         }
 
     private fun serveLocal(channel: SocketChannel) {
-        first.scope.launch { LocalConnection(TrafficSocket(channel, first.loop), localHandler).run() }
+        first.scope.launch { LocalConnection(LoopSocket(channel, first.loop), localHandler).run() }
     }
 
-    private suspend fun acceptAll(listener: TrafficListener, serve: (SocketChannel) -> Unit) {
+    private suspend fun acceptAll(listener: LoopListener, serve: (SocketChannel) -> Unit) {
         try {
             while (job.isActive) {
                 try {
@@ -139,7 +143,7 @@
 
     private fun serve(channel: SocketChannel, kind: HopKind) {
         val worker = workers[accepted.getAndIncrement().mod(workers.size)]
-        val socket = TrafficSocket(channel, worker.loop)
+        val socket = LoopSocket(channel, worker.loop)
         val open = connections.getValue(kind)
         val limit = when (kind) {
             HopKind.CALLING -> (shared.snapshots.current()?.limits ?: LimitsConfig()).maxConnections
--- a/node/src/main/kotlin/boragelever/node/proxy/ReplyWriter.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ReplyWriter.kt
@@ -1,12 +1,13 @@
 package boragelever.node.proxy
 
 import boragelever.core.call.Refusal
+import boragelever.node.net.LoopSocket
 import io.ktor.http.HttpStatusCode
 import java.io.IOException
 import java.nio.ByteBuffer
 
 /** Writes the answer to one request and knows whether the caller has a whole one. */
-internal class ReplyWriter(private val socket: TrafficSocket) {
+internal class ReplyWriter(private val socket: LoopSocket) {
     private var body: BodyWriter? = null
 
     /** Status that was sent, or 0. */
--- a/node/src/main/kotlin/boragelever/node/proxy/TrafficContext.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/TrafficContext.kt
@@ -1,5 +1,6 @@
 package boragelever.node.proxy
 
+import boragelever.node.net.SocketLoop
 import kotlinx.coroutines.CoroutineScope
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -27,7 +28,7 @@
 /** What the calls of one traffic thread share. */
 internal class TrafficContext(
     private val shared: SharedTraffic,
-    val loop: TrafficLoop,
+    val loop: SocketLoop,
     val pool: ConnectionPool,
     /** Runs what outlives a call, such as recording its answer. */
     val background: CoroutineScope,
--- a/node/src/test/kotlin/boragelever/node/proxy/TrafficLoopTest.kt
+++ b/node/src/test/kotlin/boragelever/node/net/SocketLoopTest.kt
@@ -1,4 +1,4 @@
-package boragelever.node.proxy
+package boragelever.node.net
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
@@ -21,8 +21,8 @@
 import java.nio.channels.SocketChannel
 
 /** Guards against waits that are lost or end on the wrong thread. */
-class TrafficLoopTest {
-    private val loop = TrafficLoop("loop-test").apply { start() }
+class SocketLoopTest {
+    private val loop = SocketLoop("loop-test").apply { start() }
 
     @AfterEach
     fun close() = loop.close()
@@ -61,9 +61,9 @@
         val text = runBlocking {
             withContext(loop) {
                 val listener = listen(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), loop)
-                val client = TrafficSocket(SocketChannel.open(), loop)
+                val client = LoopSocket(SocketChannel.open(), loop)
                 client.connect(InetSocketAddress(InetAddress.getLoopbackAddress(), listener.port))
-                val server = TrafficSocket(listener.accept(), loop)
+                val server = LoopSocket(listener.accept(), loop)
                 val buffer = ByteBuffer.allocate(2)
                 assertNull(withTimeoutOrNull(20) { client.read(buffer) })
                 server.write(ByteBuffer.wrap("ok".encodeToByteArray()))
@@ -82,7 +82,7 @@
         val ended = runBlocking {
             withContext(loop) {
                 val listener = listen(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), loop)
-                val client = TrafficSocket(SocketChannel.open(), loop)
+                val client = LoopSocket(SocketChannel.open(), loop)
                 client.connect(InetSocketAddress(InetAddress.getLoopbackAddress(), listener.port))
                 val result = CompletableDeferred<Boolean>()
                 launch {
@@ -105,7 +105,7 @@
 }
 
 /** Reads at least one byte, or returns -1 if the other side has ended the connection. */
-private suspend fun TrafficSocket.read(buffer: ByteBuffer): Int {
+private suspend fun LoopSocket.read(buffer: ByteBuffer): Int {
     val count = readNow(buffer)
     if (count != 0) return count
     awaitReadable(limitMillis = 0)
--- a/node/src/test/kotlin/boragelever/node/peer/PeerTransportTest.kt
+++ b/node/src/test/kotlin/boragelever/node/peer/PeerTransportTest.kt
@@ -9,7 +9,6 @@
 import boragelever.core.control.PeerMessage
 import boragelever.node.Clock
 import boragelever.wire.SharedKey
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -106,9 +105,8 @@
             this,
             clock,
             Random(1),
-            Dispatchers.Default,
         )
-    private val address = NetworkAddress("127.0.0.1:${runBlocking { transport.bind() }}")
+    private val address = NetworkAddress("127.0.0.1:${transport.bind()}")
 
     init {
         transport.start()
--- a/node/src/test/kotlin/boragelever/node/proxy/ClientCompilerTest.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/ClientCompilerTest.kt
@@ -4,6 +4,7 @@
 import boragelever.core.config.LimitsConfig
 import boragelever.core.config.RouteConfig
 import boragelever.core.control.UpstreamState
+import boragelever.node.net.LoopSocket
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -26,6 +27,7 @@
             "-XX:+PrintCompilation",
             "-XX:CompileCommand=quiet",
             "-XX:CompileCommand=compileonly,boragelever.node.proxy.*::*",
+            "-XX:CompileCommand=compileonly,boragelever.node.net.*::*",
             "-cp",
             System.getProperty("java.class.path"),
             CompilationProbe::class.java.name,
@@ -33,7 +35,7 @@
         val lines = process.inputStream.bufferedReader().readLines()
         assertTrue(process.waitFor(PROBE_SECONDS, TimeUnit.SECONDS))
         assertEquals(0, process.exitValue(), lines.takeLast(EXCERPT_LINES).joinToString("\n"))
-        assertTrue(lines.any { "TrafficSocket::write" in it }, "the call was not compiled at all")
+        assertTrue(lines.any { "LoopSocket::write" in it }, "the call was not compiled at all")
         assertEquals(emptyList<String>(), lines.filter { "COMPILE SKIPPED" in it })
     }
 
