Wait for control events on a blocking queue

Cause: a select over a coroutine channel and a time-out arms and cancels a timer on a second thread for each event.

Change: the JDK's blocking queue, bounded by a semaphore so that producers are suspended and not blocked. A caller that waits for its event is released when the loop is stopped; before, it waited for ever.

--- a/node/src/main/kotlin/boragelever/node/ControlLoop.kt
+++ b/node/src/main/kotlin/boragelever/node/ControlLoop.kt
@@ -9,14 +9,10 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.selects.onTimeout
-import kotlinx.coroutines.selects.select
-import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.sync.Semaphore
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 
@@ -31,11 +27,13 @@
     public fun at(stamp: Stamp): Event
 }
 
-/** An event whose sender waits until it is reduced. */
-private class AwaitedEvent(private val event: UnstampedEvent) : UnstampedEvent {
-    val reduced = CompletableDeferred<Unit>()
+/** What the control thread takes from its queue. */
+private sealed interface QueueItem {
+    /** An event; [reduced] is completed once it is reduced, if its sender waits for that. */
+    class Waiting(val event: UnstampedEvent, val reduced: CompletableDeferred<Unit>? = null) : QueueItem
 
-    override fun at(stamp: Stamp): Event = event.at(stamp)
+    /** The thread ends. */
+    data object End : QueueItem
 }
 
 /** Figures of the control thread since the start. */
@@ -64,8 +62,14 @@
     seed: Long,
     private val effects: (Effect) -> Unit,
 ) {
-    private val queue = Channel<UnstampedEvent>(QUEUE_CAPACITY)
-    private val waiting = AtomicInteger()
+    /** A blocking queue costs one thread switch for each event; waiting on a channel needs a timer thread as well. */
+    private val queue = LinkedBlockingQueue<QueueItem>()
+
+    /** Bounds [queue]; a coroutine that waits for room blocks no thread. */
+    private val room = Semaphore(QUEUE_CAPACITY)
+
+    @Volatile
+    private var stopped = false
     private val random = Random(seed)
     private val thread = Thread(::run, "control-${initial.identity.node}").apply { isDaemon = true }
 
@@ -89,7 +93,7 @@
                 longestReduceNanos.get(),
                 skippedTicks.get(),
                 failures.get(),
-                waiting.get(),
+                queue.size,
             )
 
     /** Starts the thread; [Event.Started] is the first event. */
@@ -99,66 +103,65 @@
 
     /** Stops the thread once it has reduced the events that wait. */
     public fun stop() {
-        queue.close()
+        stopped = true
+        queue.put(QueueItem.End)
     }
 
     /** Queues [event], suspending while the queue is full; dropped once the loop is stopped. */
     public suspend fun submit(event: UnstampedEvent) {
-        waiting.incrementAndGet()
-        try {
-            queue.send(event)
-        } catch (e: ClosedSendChannelException) {
-            waiting.decrementAndGet()
-        }
+        enqueue(QueueItem.Waiting(event))
     }
 
-    /** Queues [event] and waits until it is reduced and its effects are started. */
+    /** Queues [event] and waits until it is reduced and its effects are started, unless the loop is stopped. */
     public suspend fun submitAndAwait(event: UnstampedEvent) {
-        val awaited = AwaitedEvent(event)
-        submit(awaited)
-        awaited.reduced.await()
+        val reduced = CompletableDeferred<Unit>()
+        if (enqueue(QueueItem.Waiting(event, reduced))) reduced.await()
     }
 
     /** Queues [event] without waiting; while the queue is full, a coroutine of [scope] waits in its place. */
     public fun submitFrom(scope: CoroutineScope, event: UnstampedEvent) {
-        if (queue.trySend(event).isSuccess) {
-            waiting.incrementAndGet()
-        } else {
-            scope.launch { submit(event) }
-        }
+        if (room.tryAcquire()) put(QueueItem.Waiting(event)) else scope.launch { submit(event) }
+    }
+
+    private suspend fun enqueue(item: QueueItem.Waiting): Boolean {
+        room.acquire()
+        return put(item)
+    }
+
+    /** Puts [item] into the room that was taken for it; gives the room back if the loop is stopped. */
+    private fun put(item: QueueItem.Waiting): Boolean {
+        if (stopped) room.release() else queue.put(item)
+        return !stopped
     }
 
     private fun run() {
         step { Event.Started(it) }
-        runBlocking {
-            var nextTick = clock.nowMillis()
-            var open = true
-            while (open) {
-                val waitMillis = nextTick - clock.nowMillis()
-                if (waitMillis <= 0) {
-                    step { Event.Ticked(it) }
-                    nextTick = tickAfter(nextTick)
-                } else {
-                    open = awaitEvent(waitMillis)
-                }
+        var nextTick = clock.nowMillis()
+        var open = true
+        while (open) {
+            val waitMillis = nextTick - clock.nowMillis()
+            if (waitMillis <= 0) {
+                step { Event.Ticked(it) }
+                nextTick = tickAfter(nextTick)
+            } else {
+                open = awaitEvent(waitMillis)
             }
         }
     }
 
-    /** Reduces the next event if one comes within [waitMillis]; returns false once the queue is closed. */
-    @OptIn(ExperimentalCoroutinesApi::class)
-    private suspend fun awaitEvent(waitMillis: Long): Boolean =
-        select {
-            queue.onReceiveCatching { received ->
-                received.getOrNull()?.let {
-                    waiting.decrementAndGet()
-                    step(it)
-                    (it as? AwaitedEvent)?.reduced?.complete(Unit)
-                }
-                !received.isClosed
+    /** Reduces the next event if one comes within [waitMillis]; returns false once the loop is stopped. */
+    private fun awaitEvent(waitMillis: Long): Boolean {
+        when (val item = queue.poll(waitMillis, TimeUnit.MILLISECONDS)) {
+            null -> Unit
+            QueueItem.End -> return false
+            is QueueItem.Waiting -> {
+                room.release()
+                step(item.event)
+                item.reduced?.complete(Unit)
             }
-            onTimeout(waitMillis) { true }
         }
+        return true
+    }
 
     private fun tickAfter(due: Long): Long {
         val missed = (clock.nowMillis() - due) / TICK_MILLIS
