--- a/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
+++ b/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
@@ -14,9 +14,18 @@
 /** Time for which dead members are remembered and contacted; longer than partitions between regions last. */
 private const val FORGET_DEAD_MILLIS = 1_800_000L
 
-/** Mean wait between two contacts with dead members. */
+/** Mean wait between two contacts with dead members, of which none died lately. */
 private const val DEAD_CONTACT_MILLIS = 10_000L
 
+/** Time for which a death counts as late news: a process that was killed is back within it. */
+private const val RECENT_DEATH_MILLIS = 30_000L
+
+/** Shortest mean wait between two contacts while a death is recent. */
+private const val RECENT_CONTACT_MILLIS = 2_000L
+
+/** Part of that wait for each live member, all of which contact the dead ones. */
+private const val RECENT_CONTACT_MILLIS_PER_MEMBER = 100L
+
 /** Largest number of times that repeated refutations double the silence needed. */
 private const val MAX_DOUBLINGS = 4
 
@@ -185,11 +194,18 @@
             outbox = outbox.copy(received = old.fold(outbox.received) { received, node -> received.remove(node) }),
             detector = detector.copy(
                 dead = old.fold(detector.dead) { dead, node -> dead.remove(node) },
-                nextDeadContactMillis =
-                    nowMillis + stamp.spreadMillis("dead", DEAD_CONTACT_MILLIS),
             ),
         )
     }
-    val chosen = kept.members.detector.dead.keys.randomOrNull(stamp.random("dead-choice")) ?: return kept.unchanged()
-    return kept.send(chosen, PeerMessage.Heartbeat(0, applied?.id, members.table.digest))
+    val dead = kept.members.detector.dead
+    val recent = dead.filterValues { nowMillis - it < RECENT_DEATH_MILLIS }
+    val waitMillis = stamp.spreadMillis("dead", if (recent.isEmpty()) DEAD_CONTACT_MILLIS else recentContactMillis())
+    val next = kept.updateDetector { copy(nextDeadContactMillis = nowMillis + waitMillis) }
+    val chosen = recent.ifEmpty { dead }.keys.randomOrNull(stamp.random("dead-choice")) ?: return next.unchanged()
+    return next.send(chosen, PeerMessage.Heartbeat(0, applied?.id, members.table.digest))
+}
+
+private fun ControlState.recentContactMillis(): Long {
+    val liveMembers = members.table.regions.values.sumOf { it.ring.entries.size }
+    return (liveMembers * RECENT_CONTACT_MILLIS_PER_MEMBER).coerceIn(RECENT_CONTACT_MILLIS, DEAD_CONTACT_MILLIS)
 }
--- a/core/src/main/kotlin/boragelever/core/control/Join.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Join.kt
@@ -13,8 +13,17 @@
 /** Longest bound of the random part of the wait between two rounds of contacts. */
 private const val MAX_CONTACT_JITTER_MILLIS = 8_000L
 
-/** Addresses contacted in one round. */
-private const val CONTACTS_PER_ROUND = 3
+/**
+ * Addresses contacted in one round.
+ *
+ * After a loss of all nodes each peer has just started as well and knows few others, so that few contacts take several
+ * rounds to bring the mesh together.
+ */
+private const val CONTACTS_PER_ROUND = 8
+
+/** Comparisons of tables that follow the first one, and the time between them. */
+private const val COMPARISONS = 4
+private const val COMPARISON_MILLIS = 250L
 
 /**
  * Rounds in which only peers of the own region are asked for the member table.
@@ -42,8 +51,23 @@
 /** Contacts peers until one has sent its member table, and from then on a random address now and then. */
 internal fun ControlState.tickJoin(stamp: Stamp): Transition {
     val join = members.join
-    if (stamp.nowMillis < join.nextContactMillis) return unchanged()
-    return if (join.joined && hasPeers) probe(stamp) else contactRound(stamp)
+    val hasJoined = join.joined && hasPeers
+    return when {
+        hasJoined && join.comparisons < COMPARISONS && stamp.nowMillis >= join.nextComparisonMillis -> compare(stamp)
+        stamp.nowMillis < join.nextContactMillis -> unchanged()
+        hasJoined -> probe(stamp)
+        else -> contactRound(stamp)
+    }
+}
+
+/** Compares tables with a random peer: the one that sent its table may have just started and know few members. */
+private fun ControlState.compare(stamp: Stamp): Transition {
+    val peers = members.table.members.values.filter { it.isLive && it.record.node != identity.node }
+    val peer = peers.randomOrNull(stamp.random("comparison"))?.record?.node
+    val next = updateJoin {
+        copy(comparisons = comparisons + 1, nextComparisonMillis = stamp.nowMillis + COMPARISON_MILLIS)
+    }
+    return if (peer == null) next.unchanged() else next.sendSummary(peer, stamp.nowMillis)
 }
 
 private val ControlState.contactAddresses: List<NetworkAddress>
--- a/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
@@ -18,8 +18,12 @@
 private const val ROW_RENEWAL_MILLIS = 60_000L
 private const val ROW_RENEWAL_JITTER_MILLIS = 20_000L
 
-/** Bound of the random wait before the first scan: 1,000 nodes that restart together make 1,000 reads a second. */
-private const val FIRST_SCAN_MILLIS = 1_000L
+/**
+ * Bound of the random wait before the first scan.
+ *
+ * Nodes that restart together are spread by their start times as well; one that the store refuses waits longer.
+ */
+private const val FIRST_SCAN_MILLIS = 200L
 
 /** Time for the first write for each row found: nodes that restart together make 200 writes a second. */
 private const val WRITE_SPREAD_MILLIS = 5L
@@ -31,7 +35,7 @@
 private const val ROWS_PER_SCAN = 1_000
 private const val MAX_REMOVED_ROWS = 8
 
-/** Addresses remembered from a scan; enough to find a live node among rows of dead ones. */
+/** Addresses remembered from a scan, the own region's first; enough to find a live node among rows of dead ones. */
 private const val MAX_FOUND = 32
 
 private inline fun ControlState.updateRows(change: MemberRowsState.() -> MemberRowsState): ControlState =
@@ -81,13 +85,18 @@
     val others = rows.filter { (it.value as? RowValue.Member)?.node != identity.node }
     val (fresh, old) = others.partition { it.isFresh(epochMillis) }
     val found = fresh
-        .mapNotNull { (it.value as? RowValue.Member)?.peerAddress }
+        .mapNotNull { it.value as? RowValue.Member }
+        .shuffled(stamp.random("member-choice"))
+        .sortedBy { it.region != identity.region }
+        .map { it.peerAddress }
         .plus(members.join.found)
         .distinct()
-        .shuffled(stamp.random("member-choice"))
         .take(MAX_FOUND)
+    val isFirstFind = members.join.found.isEmpty() && !hasPeers
     val spreadMillis = maxOf(MIN_WRITE_SPREAD_MILLIS, rows.size * WRITE_SPREAD_MILLIS)
-    val next = updateJoin { copy(found = found) }.updateRows {
+    val next = updateJoin {
+        copy(found = found, nextContactMillis = if (isFirstFind) stamp.nowMillis else nextContactMillis)
+    }.updateRows {
         copy(
             scan = null,
             failures = 0,
--- a/core/src/main/kotlin/boragelever/core/control/MembershipState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MembershipState.kt
@@ -48,6 +48,9 @@
     public val nextContactMillis: Long = 0,
     /** Address contacted to find nodes that no peer knows of. */
     public val probed: NetworkAddress? = null,
+    /** Tables compared with further peers since the first one was received. */
+    public val comparisons: Int = 0,
+    public val nextComparisonMillis: Long = 0,
 )
 
 /** State of the failure detector. */
--- /dev/null
+++ b/core/src/test/kotlin/boragelever/core/control/MeshJoinTest.kt
@@ -0,0 +1,62 @@
+package boragelever.core.control
+
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+/** Time in which a process that has started again is to know what the others know, as the users' sites state it. */
+private const val CATCH_UP_MILLIS = 4_000L
+
+/** Guards against nodes that know each other only seconds after they have started together, and refuse calls until then. */
+class MeshJoinTest {
+    /** Nodes without configured addresses that start again after [outageMillis]. */
+    internal class Case(
+        private val name: String,
+        private val seed: Int,
+        val restarting: List<Int>,
+        val outageMillis: Long,
+        val isStoreUp: Boolean,
+    ) {
+        fun mesh() = FakeMesh(MeshSize(3, 2, 3, seeds = 0), seed)
+
+        override fun toString(): String = "$name, seed $seed"
+    }
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    internal fun `each node knows the upstreams of all others soon after a restart`(case: Case) {
+        val mesh = case.mesh()
+        mesh.nodes.forEach { mesh.start(it) }
+        mesh.runFor(8_000)
+        mesh.nodes.forEach { mesh.announce(it, UpstreamState.SERVING) }
+        assertNotNull(mesh.runUntil(CATCH_UP_MILLIS) { mesh.knowsAllUpstreams() }, "before the restart")
+        mesh.isStoreUp = case.isStoreUp
+        val restarting = case.restarting.map { mesh.nodes[it] }
+        restarting.forEach { mesh.kill(it) }
+        mesh.runFor(case.outageMillis)
+        restarting.forEach {
+            mesh.start(it)
+            mesh.announce(it, UpstreamState.SERVING)
+        }
+        assertNotNull(mesh.runUntil(CATCH_UP_MILLIS) { mesh.knowsAllUpstreams() }, "after the restart")
+    }
+
+    private fun FakeMesh.knowsAllUpstreams(): Boolean =
+        nodes.all { node -> nodes.all { node.knowsUpstreamOf(it.identity) } }
+
+    private fun FakeNode.knowsUpstreamOf(other: NodeIdentity): Boolean {
+        val member = state.members.table[other.node] ?: return false
+        return member.isLive && member.record.upstreams.any { it.state == UpstreamState.SERVING }
+    }
+
+    private companion object {
+        val SEEDS = 1..12
+
+        @JvmStatic
+        fun cases(): List<Case> =
+            SEEDS.map { Case("all nodes lose power", it, (0 until 18).toList(), 1_500, isStoreUp = true) } +
+                SEEDS.map {
+                    Case("three nodes while the store is down", it, listOf(1, 7, 13), 6_000, isStoreUp = false)
+                }
+    }
+}
