Index routes once a configuration and use nodes that started again at once

Change 1: the sorted routes and their index belong to the applied configuration; the tree is built in one pass.

Change 2: the time ends when the node's incarnation has risen. Instances that failed themselves stay out. Cases of EndpointSelectionTest and UnreachableEndpointTest.

--- a/core/src/main/kotlin/boragelever/core/control/ControlState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/ControlState.kt
@@ -9,6 +9,7 @@
 import boragelever.core.config.ConfigDocument
 import boragelever.core.config.ConfigId
 import boragelever.core.config.Configuration
+import boragelever.core.routing.RouteTable
 import boragelever.core.routing.RoutingSnapshot
 
 /** Settings of a node that the control state needs; fixed for the life of the process. */
@@ -47,7 +48,10 @@
     public val id: ConfigId,
     public val document: ConfigDocument,
     public val configuration: Configuration,
-)
+) {
+    /** Routes of the configuration, longest prefix first. */
+    internal val routes: RouteTable by lazy(LazyThreadSafetyMode.NONE) { compileRoutes(configuration) }
+}
 
 /** Whole control state of a node. Owned by the control thread. */
 public data class ControlState(
--- a/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
@@ -4,11 +4,13 @@
 import boragelever.core.InstanceId
 import boragelever.core.RegionName
 import boragelever.core.ServiceName
+import boragelever.core.config.Configuration
 import boragelever.core.routing.CompiledRoute
 import boragelever.core.routing.CompiledService
 import boragelever.core.routing.Destination
 import boragelever.core.routing.Endpoint
 import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.RouteTable
 import boragelever.core.routing.RoutingSnapshot
 import kotlinx.collections.immutable.PersistentMap
 
@@ -63,7 +65,7 @@
     return RoutingSnapshot(
         config = config.id,
         node = identity.node,
-        routes = config.routes(services.keys),
+        routes = config.routes,
         services = services,
         limits = config.configuration.limits,
         localUpstreams = members.own?.upstreams.orEmpty().associateBy { it.instance },
@@ -92,12 +94,13 @@
 private const val OWN_SHARE = 0.5
 
 /** Destinations that are not services of the configuration are left out, so that every destination resolves. */
-private fun AppliedConfig.routes(services: Set<ServiceName>): List<CompiledRoute> =
-    configuration.routes
-        .map { (name, route) ->
-            val destinations = route.destinations.filterKeys { it in services }
-            CompiledRoute(name, route, destinations.map { (service, weight) -> Destination(service, weight) })
-        }.sortedWith(TRIED_ORDER)
+internal fun compileRoutes(configuration: Configuration): RouteTable {
+    val routes = configuration.routes.map { (name, route) ->
+        val destinations = route.destinations.filterKeys { it in configuration.services }
+        CompiledRoute(name, route, destinations.map { (service, weight) -> Destination(service, weight) })
+    }
+    return RouteTable(routes.sortedWith(TRIED_ORDER))
+}
 
 private fun ControlState.endpoints(): Map<ServiceName, List<Endpoint>> {
     val unreachable = members.table.regions.keys.filter { isUnreachable(it) }.toSet()
@@ -123,6 +126,7 @@
                 servingSinceMillis = servingSince[upstream.instance] ?: sinceMillis,
                 warm = upstream.warm,
                 trusted = status == MemberStatus.ALIVE && record.region !in unreachable,
+                incarnation = record.incarnation,
             )
         }
 
--- a/core/src/main/kotlin/boragelever/core/routing/EndpointSelection.kt
+++ b/core/src/main/kotlin/boragelever/core/routing/EndpointSelection.kt
@@ -1,5 +1,6 @@
 package boragelever.core.routing
 
+import boragelever.core.Incarnation
 import boragelever.core.InstanceId
 import boragelever.core.Stamp
 import boragelever.core.config.CrossRegion
@@ -16,6 +17,8 @@
     public val reportedInFlight: Int = 0,
     /** Monotonic time in milliseconds until which the endpoint is ejected; 0 if it is not. */
     public val ejectedUntilMillis: Long = 0,
+    /** Incarnation of the node that could not be reached, or `null` if the endpoint is ejected for another reason. */
+    public val unreachableIncarnation: Incarnation? = null,
 )
 
 /** Read access to the endpoint statistics of the traffic threads. */
@@ -71,7 +74,9 @@
 /** Leaves out ejected endpoints, unless so few remain that ejection would concentrate the load on them. */
 private fun usable(service: CompiledService, view: EndpointView, nowMillis: Long): List<Candidate> {
     val known = service.endpoints.map { it to view.statsOf(it.instance) }
-    val healthy = known.filter { (_, stats) -> stats.ejectedUntilMillis <= nowMillis }
+    val healthy = known.filter { (endpoint, stats) ->
+        stats.ejectedUntilMillis <= nowMillis || stats.isOlderThan(endpoint.incarnation)
+    }
     val panic = healthy.size * 100 < known.size * service.config.outlier.panicPercent
     return (if (panic) known else healthy).map { (endpoint, stats) ->
         Candidate(
@@ -82,6 +87,10 @@
     }
 }
 
+/** True if the node was not reached before it started again, which the new process has made good. */
+private fun EndpointStats.isOlderThan(incarnation: Incarnation): Boolean =
+    unreachableIncarnation != null && unreachableIncarnation < incarnation
+
 private fun warmth(endpoint: Endpoint, slowStartMillis: Long, nowMillis: Long): Double {
     if (!endpoint.warm) return COLD_SHARE
     if (slowStartMillis <= 0) return 1.0
--- a/core/src/main/kotlin/boragelever/core/routing/OutlierEjection.kt
+++ b/core/src/main/kotlin/boragelever/core/routing/OutlierEjection.kt
@@ -1,5 +1,6 @@
 package boragelever.core.routing
 
+import boragelever.core.Incarnation
 import boragelever.core.config.OutlierConfig
 
 /** Largest number of doublings of the ejection time: 5 s become at most 160 s. */
@@ -13,6 +14,8 @@
     public val ejections: Int = 0,
     /** Monotonic time in milliseconds until which the endpoint is ejected; 0 if it never was. */
     public val ejectedUntilMillis: Long = 0,
+    /** Incarnation of the node that could not be reached, or `null` if the endpoint was ejected for another reason. */
+    public val unreachableIncarnation: Incarnation? = null,
 )
 
 /**
@@ -40,11 +43,18 @@
     )
 }
 
-/** Returns [health] after an attempt that did not reach the node beside the endpoint. */
-public fun afterUnreachable(health: EndpointHealth, nowMillis: Long): EndpointHealth {
-    if (health.ejectedUntilMillis > nowMillis) return health
-    val duration = UNREACHABLE_MILLIS shl minOf(health.ejections, MAX_UNREACHABLE_DOUBLINGS)
-    return health.copy(ejections = health.ejections + 1, ejectedUntilMillis = nowMillis + duration)
+/** Returns [health] after an attempt that did not reach the node beside the endpoint, in its [incarnation]. */
+public fun afterUnreachable(health: EndpointHealth, nowMillis: Long, incarnation: Incarnation): EndpointHealth {
+    val known = health.unreachableIncarnation
+    val isNewLife = known != null && known < incarnation
+    if (health.ejectedUntilMillis > nowMillis && !isNewLife) return health
+    val earlier = if (isNewLife) 0 else health.ejections
+    val duration = UNREACHABLE_MILLIS shl minOf(earlier, MAX_UNREACHABLE_DOUBLINGS)
+    return health.copy(
+        ejections = earlier + 1,
+        ejectedUntilMillis = nowMillis + duration,
+        unreachableIncarnation = incarnation,
+    )
 }
 
 /** First time for which an endpoint that was not reached is left out; a node restarts within a few of these. */
--- a/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
+++ b/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
@@ -1,6 +1,7 @@
 package boragelever.core.routing
 
 import boragelever.core.Fingerprint
+import boragelever.core.Incarnation
 import boragelever.core.InstanceId
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
@@ -40,17 +41,10 @@
     /** Service of the upstream beside this node, which upstreams are told as the caller; `null` if it is not known. */
     public val callingService: ServiceName? = null,
 ) {
-    private val hostlessRoutes = routes.filter { it.config.host == null }
-
-    /** For each host that a route names, the routes that may match a request for it. */
-    private val routesByHost: Map<String, List<CompiledRoute>> =
-        routes.mapNotNull { it.config.host?.lowercase() }.distinct().associateWith { host ->
-            routes.filter { it.config.host == null || it.config.host.equals(host, ignoreCase = true) }
-        }
+    private val routeTable: RouteTable = routes as? RouteTable ?: RouteTable(routes)
 
     /** Routes that may match a request for [host], in the order in which they are tried. */
-    internal fun candidates(host: String?): List<CompiledRoute> =
-        host?.let { routesByHost[it.lowercase()] } ?: hostlessRoutes
+    internal fun candidates(host: String?): List<CompiledRoute> = routeTable.candidates(host)
 
     /** Retries as a percentage of the calls on [route]: the bound that all nodes share, or else that of the route. */
     public fun retryPercentOf(route: CompiledRoute): Int = retryPercent ?: route.config.retry.budgetPercent
@@ -61,6 +55,34 @@
     }
 }
 
+/**
+ * The routes of a configuration with an index by host.
+ *
+ * It is made once for a configuration, since a snapshot is made for each change of a member and most have hundreds of
+ * routes.
+ */
+internal class RouteTable(private val routes: List<CompiledRoute>) : List<CompiledRoute> by routes {
+    private val hostless = routes.filter { it.config.host == null }
+
+    /** For each host that a route names, the routes that may match a request for it. */
+    private val byHost: Map<String, List<CompiledRoute>> =
+        routes.filter { it.config.host != null }
+            .groupBy { it.config.host.orEmpty().lowercase() }
+            .mapValues { (_, named) -> if (hostless.isEmpty()) named else inOrder(named.toSet() + hostless) }
+
+    private fun inOrder(chosen: Set<CompiledRoute>): List<CompiledRoute> = routes.filter { it in chosen }
+
+    /** Routes that may match a request for [host], in the order in which they are tried. */
+    fun candidates(host: String?): List<CompiledRoute> = host?.let { byHost[it.lowercase()] } ?: hostless
+
+    override fun equals(other: Any?): Boolean =
+        this === other || (other is List<*> && routes == ((other as? RouteTable)?.routes ?: other))
+
+    override fun hashCode(): Int = routes.hashCode()
+
+    override fun toString(): String = routes.toString()
+}
+
 /** A route whose destinations are resolved. */
 public data class CompiledRoute(
     public val name: RouteName,
@@ -96,6 +118,8 @@
     public val warm: Boolean = true,
     /** False while the node beside the instance is suspect: the endpoint is used last. */
     public val trusted: Boolean = true,
+    /** Incarnation of that node, which rises when its process starts again. */
+    public val incarnation: Incarnation = Incarnation(0),
 )
 
 /** Distance of an endpoint from the calling node, nearest first. */
--- a/core/src/test/kotlin/boragelever/core/control/MeshJoinTest.kt
+++ b/core/src/test/kotlin/boragelever/core/control/MeshJoinTest.kt
@@ -7,7 +7,7 @@
 /** Time in which a process that has started again is to know what the others know, as the users' sites state it. */
 private const val CATCH_UP_MILLIS = 4_000L
 
-/** Guards against nodes that know each other only seconds after they have started together, and refuse calls until then. */
+/** Guards against nodes that know each other only seconds after they started together and refuse calls until then. */
 class MeshJoinTest {
     /** Nodes without configured addresses that start again after [outageMillis]. */
     internal class Case(
--- a/core/src/test/kotlin/boragelever/core/routing/EndpointSelectionTest.kt
+++ b/core/src/test/kotlin/boragelever/core/routing/EndpointSelectionTest.kt
@@ -1,5 +1,6 @@
 package boragelever.core.routing
 
+import boragelever.core.Incarnation
 import boragelever.core.InstanceId
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
@@ -24,6 +25,10 @@
         val load: Map<String, Int>,
         val config: ServiceConfig = ServiceConfig(slowStartMillis = 0),
         val ejected: Set<String> = emptySet(),
+        /** Endpoints whose nodes could not be reached a moment ago. */
+        val unreachable: Set<String> = emptySet(),
+        /** Endpoints whose nodes have started again since then. */
+        val restarted: Set<String> = emptySet(),
         val excluded: Set<String> = emptySet(),
         val young: Set<String> = emptySet(),
         val suspect: Set<String> = emptySet(),
@@ -36,11 +41,15 @@
     @ParameterizedTest
     @MethodSource("cases")
     internal fun `calls go where they can be served`(case: Case) {
-        val endpoints = case.load.keys.map { name -> endpoint(name, name in case.young, name !in case.suspect) }
+        val endpoints = case.load.keys.map { name ->
+            endpoint(name, name in case.young, name !in case.suspect)
+                .copy(incarnation = Incarnation(if (name in case.restarted) 2 else 1))
+        }
         val service = CompiledService(ServiceName("s"), case.config, endpoints)
         val view = EndpointView { instance ->
-            val until = if (instance.value in case.ejected) NOW + 1 else 0
-            EndpointStats(case.load.getValue(instance.value), 0, until)
+            val isUnreachable = instance.value in case.unreachable
+            val until = if (instance.value in case.ejected || isUnreachable) NOW + 1 else 0
+            EndpointStats(case.load.getValue(instance.value), 0, until, Incarnation(1).takeIf { isUnreachable })
         }
         val excluded = case.excluded.map { InstanceId(it) }.toSet()
         val chosen = (1..CALLS).mapNotNull { selectEndpoint(service, view, Stamp(NOW, it.toLong()), excluded) }
@@ -112,6 +121,26 @@
                 ejected = setOf("z1"),
                 shares = mapOf("z2" to 40..60, "z3" to 40..60),
             ),
+            Case(
+                "an endpoint whose node was not reached gets calls",
+                mapOf("z1" to 0, "z2" to 0),
+                unreachable = setOf("z1"),
+                shares = mapOf("z2" to ALL),
+            ),
+            Case(
+                "an endpoint is left out although its node has started again",
+                mapOf("z1" to 0, "z2" to 0),
+                unreachable = setOf("z1"),
+                restarted = setOf("z1"),
+                shares = mapOf("z1" to 40..60, "z2" to 40..60),
+            ),
+            Case(
+                "an endpoint that failed is used as soon as its node has started again",
+                mapOf("z1" to 0, "z2" to 0),
+                ejected = setOf("z1"),
+                restarted = setOf("z1"),
+                shares = mapOf("z2" to ALL),
+            ),
             Case(
                 "ejection concentrates the load on a small rest",
                 mapOf("z1" to 0, "z2" to 0, "z3" to 0, "z4" to 0),
@@ -135,6 +164,32 @@
     }
 }
 
+/** Each case guards against the failure that it names. */
+class UnreachableEndpointTest {
+    internal class Case(val failure: String, val health: EndpointHealth, val expected: EndpointHealth) {
+        override fun toString() = failure
+    }
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    internal fun `a node that is not reached is left out for a time`(case: Case) {
+        assertEquals(case.expected, afterUnreachable(case.health, 1_000, Incarnation(7)))
+    }
+
+    private companion object {
+        fun health(ejections: Int, untilMillis: Long, incarnation: Long) =
+            EndpointHealth(0, ejections, untilMillis, Incarnation(incarnation))
+
+        @JvmStatic
+        fun cases(): List<Case> = listOf(
+            Case("a node that restarts is left out for long", EndpointHealth(), health(1, 1_500, 7)),
+            Case("a dead node is tried as often as a living one", health(2, 900, 7), health(3, 3_000, 7)),
+            Case("each of many calls lengthens the time", health(1, 1_200, 7), health(1, 1_200, 7)),
+            Case("a new process inherits the time of the old one", health(3, 2_500, 6), health(1, 1_500, 7)),
+        )
+    }
+}
+
 /** Each case guards against the failure that it names. */
 class OutlierEjectionTest {
     internal class Case(
--- a/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
@@ -221,9 +221,10 @@
     }
 
     private fun noteFailure(attempt: Attempt, unreachable: Boolean = false) {
+        val endpoint = (attempt.start.target as? AttemptTarget.NextNode)?.endpoint ?: return
         val service = serviceOf(attempt) ?: return
         if (unreachable) {
-            context.endpoints.unreachable(attempt.instance)
+            context.endpoints.unreachable(endpoint)
         } else {
             context.endpoints.failed(attempt.instance, service)
         }
--- a/node/src/main/kotlin/boragelever/node/proxy/EndpointTable.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/EndpointTable.kt
@@ -3,6 +3,7 @@
 import boragelever.core.InstanceId
 import boragelever.core.config.OutlierConfig
 import boragelever.core.routing.CompiledService
+import boragelever.core.routing.Endpoint
 import boragelever.core.routing.EndpointHealth
 import boragelever.core.routing.EndpointStats
 import boragelever.core.routing.EndpointView
@@ -35,10 +36,12 @@
         entries[instance]?.let { entry ->
             val report = entry.report
             val fresh = clock.nowMillis() - report.atMillis < REPORT_MAX_AGE_MILLIS
+            val health = entry.health.get()
             EndpointStats(
                 inFlight = entry.inFlight.get(),
                 reportedInFlight = if (fresh) report.inFlight else 0,
-                ejectedUntilMillis = entry.health.get().ejectedUntilMillis,
+                ejectedUntilMillis = health.ejectedUntilMillis,
+                unreachableIncarnation = health.unreachableIncarnation,
             )
         } ?: EndpointStats()
     }
@@ -60,9 +63,11 @@
         entries[instance]?.health?.updateAndGet { afterSuccess(it, config, clock.nowMillis()) }
     }
 
-    /** Leaves out an endpoint whose node could not be reached. */
-    fun unreachable(instance: InstanceId) {
-        entries[instance]?.health?.updateAndGet { afterUnreachable(it, clock.nowMillis()) }
+    /** Leaves out an endpoint whose node could not be reached, until its time is over or the node starts again. */
+    fun unreachable(endpoint: Endpoint) {
+        entries[endpoint.instance]?.health?.updateAndGet {
+            afterUnreachable(it, clock.nowMillis(), endpoint.incarnation)
+        }
     }
 
     fun failed(instance: InstanceId, service: CompiledService) {
--- a/yaml/src/main/kotlin/boragelever/yaml/CanonicalJson.kt
+++ b/yaml/src/main/kotlin/boragelever/yaml/CanonicalJson.kt
@@ -59,24 +59,26 @@
 /** Rebuilds the tree of a document. The place of an entry is its key in the document. */
 internal fun toTree(document: ConfigDocument): Result<ConfigNode.MapNode, List<ConfigError>> {
     val errors = mutableListOf<ConfigError>()
-    val sections = sortedMapOf<String, ConfigNode>()
+    val single = sortedMapOf<String, ConfigNode>()
+    val named = sortedMapOf<String, MutableMap<String, ConfigNode>>()
     document.entries.toSortedMap().forEach { (key, text) ->
-        val top = ConfigLocation(FileName(key.value), line = 1, key = TOP_LEVEL_KEY)
         val section = key.value.substringBefore('/')
         val name = key.value.substringAfter('/', missingDelimiterValue = "")
-        val at = if (name.isEmpty()) top.child(section) else top.child(section).child(name)
-        val node = parseJson(text, at, errors) ?: return@forEach
-        sections[section] = if (name.isEmpty()) node else sections[section].plusNamed(top.child(section), name, node)
+        val sectionAt = ConfigLocation(FileName(key.value), line = 1, key = TOP_LEVEL_KEY).child(section)
+        if (name.isEmpty()) {
+            parseJson(text, sectionAt, errors)?.let { single[section] = it }
+        } else {
+            parseJson(text, sectionAt.child(name), errors)?.let { named.getOrPut(section) { linkedMapOf() }[name] = it }
+        }
+    }
+    val sections = single + named.mapValues { (section, entries) ->
+        val own = (single[section] as? ConfigNode.MapNode)?.entries.orEmpty()
+        ConfigNode.MapNode(entries.values.last().location.copy(key = section), own + entries)
     }
     val top = ConfigLocation(FileName("document"), line = 1, key = TOP_LEVEL_KEY)
     return if (errors.isEmpty()) Ok(ConfigNode.MapNode(top, sections)) else Err(errors)
 }
 
-private fun ConfigNode?.plusNamed(location: ConfigLocation, name: String, node: ConfigNode): ConfigNode {
-    val entries = (this as? ConfigNode.MapNode)?.entries.orEmpty()
-    return ConfigNode.MapNode(location, entries + (name to node))
-}
-
 private fun parseJson(text: String, location: ConfigLocation, errors: MutableList<ConfigError>): ConfigNode? =
     try {
         JsonConversion(errors).node(Json.parseToJsonElement(text), location, depth = 0)
