--- a/core/src/main/kotlin/boragelever/core/call/Admission.kt
+++ b/core/src/main/kotlin/boragelever/core/call/Admission.kt
@@ -41,7 +41,7 @@
     val objection = objectionTo(planned, plan, snapshot, event.stamp.nowMillis)
     return when {
         objection != null -> planned.refuse(objection)
-        service.endpoints.isEmpty() -> planned.awaitRouting(event, service.name, noEndpoint)
+        !snapshot.canRoute(service.name) -> planned.awaitRouting(event, service.name, noEndpoint)
         else -> planned.claimOrSelect(plan)
     }
 }
--- a/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
+++ b/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
@@ -46,6 +46,10 @@
     /** Routes that may match a request for [host], in the order in which they are tried. */
     internal fun candidates(host: String?): List<CompiledRoute> = routeTable.candidates(host)
 
+    /** True if a call to [service] can go somewhere; `null` stands for a call whose route is not known yet. */
+    public fun canRoute(service: ServiceName?): Boolean =
+        service == null || !services[service]?.endpoints.isNullOrEmpty()
+
     /** Retries as a percentage of the calls on [route]: the bound that all nodes share, or else that of the route. */
     public fun retryPercentOf(route: CompiledRoute): Int = retryPercent ?: route.config.retry.budgetPercent
 
--- a/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
@@ -20,7 +20,7 @@
 import java.io.IOException
 
 /** A refusal of a node is a short text; a longer body is not read but cut off. */
-private const val MAX_REFUSAL_BYTES = 4_096
+private const val MAX_REFUSAL_BYTES = 4_096L
 private const val SERVER_ERROR = 500
 
 /** Failures by which a node shows that it takes no calls at all. */
@@ -235,14 +235,8 @@
             ?.let { context.snapshots.current()?.services?.get(it.endpoint.service) }
 
     private suspend fun drain(exchange: Exchange) {
-        val buffer = ByteArray(MAX_REFUSAL_BYTES)
         try {
-            var total = 0
-            while (total <= MAX_REFUSAL_BYTES) {
-                val count = exchange.body.read(buffer)
-                if (count < 0) break
-                total += count
-            }
+            exchange.body.skip(MAX_REFUSAL_BYTES)
         } catch (failure: IOException) {
             exchange.abort()
         }
--- a/node/src/main/kotlin/boragelever/node/proxy/CallRunner.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/CallRunner.kt
@@ -61,16 +61,19 @@
         val startedNanos = System.nanoTime()
         try {
             coroutineScope {
-                watchCaller()
-                if (call.kind == HopKind.LAST) signLifeLater(this)
-                events.post(arrived())
-                while (state.phase != CallPhase.Ended) step(events.take())
-                timers.forEach { it.dispose() }
+                try {
+                    watchCaller()
+                    if (call.kind == HopKind.LAST) signLifeLater(this)
+                    events.post(arrived())
+                    while (state.phase != CallPhase.Ended) step(events.take())
+                } finally {
+                    // A timer that fires later would start work in a scope that is about to end.
+                    timers.forEach { it.dispose() }
+                }
                 // What still runs belongs to cancelled attempts.
                 coroutineContext.job.children.toList().forEach { it.cancelAndJoin() }
             }
         } finally {
-            timers.forEach { it.dispose() }
             releaseSlot()
             attempts.close()
             trace.ended(summary(System.nanoTime() - startedNanos))
@@ -180,9 +183,7 @@
 
     /** Looks again and again, since few calls wait and only in the first seconds of a node. */
     private fun awaitRouting(effect: CallEffect.AwaitRouting) {
-        val snapshot = context.snapshots.current()
-        val isKnown = snapshot != null &&
-            (effect.service == null || !snapshot.services[effect.service]?.endpoints.isNullOrEmpty())
+        val isKnown = context.snapshots.current()?.canRoute(effect.service) ?: false
         if (isKnown || context.clock.nowMillis() >= effect.untilMillis) {
             events.post(arrived())
         } else {
--- a/node/src/main/kotlin/boragelever/node/proxy/Exchange.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/Exchange.kt
@@ -174,10 +174,7 @@
     private suspend fun skip(connection: PooledConnection, framing: BodyFraming) {
         if (framing == BodyFraming.UntilEnd) throw ConnectionEnded()
         connection.spoiled = true
-        val reader = BodyReader(connection.input, framing)
-        val scrap = ByteArray(COPY_BUFFER_BYTES)
-        var count = 0
-        while (count >= 0) count = reader.read(scrap)
+        BodyReader(connection.input, framing).skip()
     }
 
     private fun silent(
--- a/node/src/main/kotlin/boragelever/node/proxy/HttpBody.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/HttpBody.kt
@@ -55,6 +55,13 @@
         return gather(sink, buffer, limitBytes)
     }
 
+    /** Reads over the rest of the body, at most [limitBytes] and a buffer; [complete] tells if that was all of it. */
+    suspend fun skip(limitBytes: Long = Long.MAX_VALUE) {
+        val scrap = ByteArray(bufferBytes(framing))
+        var skipped = 0L
+        while (!complete && skipped <= limitBytes) skipped += maxOf(0, read(scrap))
+    }
+
     /** The end of the connection ends the body; a reset throws. */
     private suspend fun readUntilEnd(target: ByteArray): Int {
         if (!input.awaitByte()) {
