Read the member rows soon after the store is back

Cause: a node that found no peer waited a random time of up to 30 s after failed reads of the member rows, also when the store was back.

Change: the wait after a failed read is 1 to 1.5 s; the circuit breaker bounds the calls of all while the store fails.

--- a/core/src/main/kotlin/boragelever/core/control/MemberExchange.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberExchange.kt
@@ -19,13 +19,8 @@
     val ours = members.table.digest
     val known = members.exchange.differences[peer]
     if (theirs == ours) {
-        return if (known ==
-            null
-        ) {
-            unchanged()
-        } else {
-            updateExchange { copy(differences = differences.remove(peer)) }.unchanged()
-        }
+        if (known == null) return unchanged()
+        return updateExchange { copy(differences = differences.remove(peer)) }.unchanged()
     }
     val isSteady = known != null && known.theirs == theirs && known.ours == ours
     val next = TableDifference(theirs, ours, (known?.count ?: 0) + 1)
--- a/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
@@ -32,6 +32,13 @@
 /** Wait between scans of a node that has found no peer. */
 private const val ROW_SCAN_MILLIS = 1_000L
 private const val MAX_BACKOFF_MILLIS = 30_000L
+
+/**
+ * Bound of the random part of the wait after a failed scan.
+ *
+ * A node without peers depends on the rows as soon as the store is back; until then the circuit breaker bounds its calls.
+ */
+private const val MAX_SCAN_BACKOFF_MILLIS = 500L
 private const val ROWS_PER_SCAN = 1_000
 private const val MAX_REMOVED_ROWS = 8
 
@@ -115,7 +122,7 @@
 private fun ControlState.scanFailed(stamp: Stamp): ControlState {
     val failures = members.rows.failures + 1
     val waitMillis =
-        ROW_SCAN_MILLIS + stamp.fullJitterMillis("member-scan", failures, ROW_SCAN_MILLIS, MAX_BACKOFF_MILLIS)
+        ROW_SCAN_MILLIS + stamp.fullJitterMillis("member-scan", failures, ROW_SCAN_MILLIS, MAX_SCAN_BACKOFF_MILLIS)
     return updateRows { copy(scan = null, failures = failures, nextScanMillis = stamp.nowMillis + waitMillis) }
 }
 
--- a/core/src/test/kotlin/boragelever/core/control/MeshJoinTest.kt
+++ b/core/src/test/kotlin/boragelever/core/control/MeshJoinTest.kt
@@ -41,6 +41,21 @@
         assertNotNull(mesh.runUntil(CATCH_UP_MILLIS) { mesh.knowsAllUpstreams() }, "after the restart")
     }
 
+    @ParameterizedTest
+    @MethodSource("seeds")
+    internal fun `a new node knows the others soon after the store is back`(seed: Int) {
+        val mesh = FakeMesh(MeshSize(3, 2, 3, seeds = 0), seed)
+        val newNode = mesh.nodes.last()
+        mesh.nodes.filter { it !== newNode }.forEach { mesh.start(it) }
+        mesh.runFor(8_000)
+        mesh.isStoreUp = false
+        mesh.start(newNode)
+        mesh.runFor(STORE_OUTAGE_MILLIS)
+        mesh.nodes.forEach { mesh.announce(it, UpstreamState.SERVING) }
+        mesh.isStoreUp = true
+        assertNotNull(mesh.runUntil(CATCH_UP_MILLIS) { mesh.knowsAllUpstreams() }, "after the outage")
+    }
+
     private fun FakeMesh.knowsAllUpstreams(): Boolean =
         nodes.all { node -> nodes.all { node.knowsUpstreamOf(it.identity) } }
 
@@ -52,6 +67,12 @@
     private companion object {
         val SEEDS = 1..12
 
+        /** Long enough for several failed reads in a row. */
+        const val STORE_OUTAGE_MILLIS = 10_000L
+
+        @JvmStatic
+        fun seeds(): List<Int> = SEEDS.toList()
+
         @JvmStatic
         fun cases(): List<Case> =
             SEEDS.map { Case("all nodes lose power", it, (0 until 18).toList(), 1_500, isStoreUp = true) } +
--- a/node/src/main/kotlin/boragelever/node/net/SocketLoop.kt
+++ b/node/src/main/kotlin/boragelever/node/net/SocketLoop.kt
@@ -89,9 +89,7 @@
             val waiters = waitersFor(channel, operation)
             val waiter = SuspendedWaiter(continuation)
             waiters[operation] = waiter
-            if (limitMillis >
-                0
-            ) {
+            if (limitMillis > 0) {
                 waiter.timer = after(limitMillis) { if (waiters.forget(operation, waiter)) waiter.expire() }
             }
             continuation.invokeOnCancellation {
