--- a/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
+++ b/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
@@ -17,7 +17,7 @@
 /** Mean wait between two contacts with dead members, of which none died lately. */
 private const val DEAD_CONTACT_MILLIS = 10_000L
 
-/** Time for which a death counts as late news: a process that was killed is back within it. */
+/** Time for which a death counts as recent: a process that was killed is back within it. */
 private const val RECENT_DEATH_MILLIS = 30_000L
 
 /** Shortest mean wait between two contacts while a death is recent. */
