--- a/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
@@ -36,7 +36,7 @@
 /**
  * Bound of the random part of the wait after a failed scan.
  *
- * A node without peers depends on the rows as soon as the store is back; until then the circuit breaker bounds its calls.
+ * A node without peers depends on the rows once the store is back; until then the circuit breaker bounds its calls.
  */
 private const val MAX_SCAN_BACKOFF_MILLIS = 500L
 private const val ROWS_PER_SCAN = 1_000
