--- a/app/src/main/kotlin/boragelever/app/Arguments.kt
+++ b/app/src/main/kotlin/boragelever/app/Arguments.kt
@@ -28,7 +28,7 @@
 private const val MAX_SECONDS = 86_400L
 private const val MAX_SAMPLE_CALLS = 100_000L
 private const val MAX_SLOTS = 100_000L
-private const val MAX_RETRY_SLACK = 1_000_000L
+private const val MAX_RETRY_SLACK = 1_000_000
 private const val MAX_TRAFFIC_THREADS = 64L
 
 /** A shorter key could be brute-forced offline from one recorded handshake. */
@@ -172,8 +172,7 @@
     ReloadableSettings(
         callingService = Values.optionalName("--service", flags.service).bind()?.let(::ServiceName),
         stopGraceMillis = Values.optionalMillis("--stop-grace", flags.stopGrace).bind(),
-        sharedRetrySlack =
-            Values.optionalNumber("--retry-slack", flags.retrySlack, 0..MAX_RETRY_SLACK).bind()?.toInt(),
+        sharedRetrySlack = Values.optionalDecimal("--retry-slack", flags.retrySlack, 0..MAX_RETRY_SLACK).bind(),
         sharedRetryRatio = Values.optionalShare("--retry-ratio", flags.retryRatio).bind(),
     )
 
--- a/app/src/main/kotlin/boragelever/app/Values.kt
+++ b/app/src/main/kotlin/boragelever/app/Values.kt
@@ -50,6 +50,16 @@
             }
         }
 
+    /** Parses a number that may have a fraction; an absent or empty value gives `null`. */
+    fun optionalDecimal(flag: String, value: String?, range: IntRange): Result<Double?, UsageError> =
+        if (value.isNullOrEmpty()) {
+            Ok(null)
+        } else {
+            parseValue(flag, value, "a number from ${range.first} to ${range.last}") {
+                it.toDoubleOrNull()?.takeIf { number -> number >= range.first && number <= range.last }
+            }
+        }
+
     fun optionalMillis(flag: String, value: String?): Result<Long?, UsageError> =
         if (value.isNullOrEmpty()) Ok(null) else millis(flag, value)
 
--- a/app/src/test/kotlin/boragelever/app/ArgumentsTest.kt
+++ b/app/src/test/kotlin/boragelever/app/ArgumentsTest.kt
@@ -39,6 +39,9 @@
             "$NODE --host h | | | --host: 'h' is not allowed; give an IP address, for example 10.1.2.3",
             "$NODE --traffic-threads 0 | | | --traffic-threads: '0' is not allowed; give an integer from 1 to 64",
             "dev --folder /none | | | --folder: '/none' is not allowed; give an existing directory",
+            "$NODE --retry-slack 35.63636363636363 | | RunNode |",
+            "$NODE --retry-slack -1 | | | --retry-slack: '-1' is not allowed; give a number from 0 to 1000000",
+            "$NODE --retry-slack x | | | --retry-slack: 'x' is not allowed; give a number from 0 to 1000000",
             "status --output xml | | | --output: 'xml' is not allowed; give one of text, json",
             "check x | QUIET=1 | | " +
                 "BORAGELEVER_QUIET for --quiet: '1' is not allowed; give true or false",
--- a/core/src/main/kotlin/boragelever/core/control/ControlState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/ControlState.kt
@@ -38,7 +38,7 @@
     /** Time after which the platform kills a process that was asked to stop, or `null` if it waits indefinitely. */
     public val stopGraceMillis: Long? = null,
     /** Retries that all nodes together may make in addition to [sharedRetryRatio], or `null` for no common bound. */
-    public val sharedRetrySlack: Int? = null,
+    public val sharedRetrySlack: Double? = null,
     /** Retries of all nodes together as a share of the calls to a service, or `null` for the budget of each route. */
     public val sharedRetryRatio: Double? = null,
 )
