--- a/node/src/main/kotlin/boragelever/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerTransport.kt
@@ -18,6 +18,7 @@
 import com.github.michaelbull.result.fold
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
@@ -105,7 +106,10 @@
 ) : AutoCloseable {
     private val loop = SocketEventLoop("peers-${settings.node}")
     private val job = SupervisorJob()
-    private val scope = CoroutineScope(job + loop)
+    private val exceptionHandler = CoroutineExceptionHandler { _, failure ->
+        log.error(failure) { "[peer] unexpected failure on a connection, which is closed" }
+    }
+    private val scope = CoroutineScope(job + loop + exceptionHandler)
     private val links = ConcurrentHashMap<NodeId, PeerLink>()
     private val contactsInProgress: MutableSet<NetworkAddress> = ConcurrentHashMap.newKeySet()
     private val acceptedCount = AtomicInteger()
@@ -174,22 +178,25 @@
 
     private suspend fun acceptConnections(boundListener: EventLoopListener) {
         var bucket = TokenBucket(ACCEPTS_PER_SECOND, ACCEPT_BURST)
-        while (true) {
-            val socket = EventLoopSocket(boundListener.accept(), loop)
-            if (acceptedCount.get() >= MAX_ACCEPTED) {
+        boundListener.acceptEach { channel ->
+            serveAccepted(EventLoopSocket(channel, loop))
+            bucket = bucket.awaitToken()
+        }
+    }
+
+    private fun serveAccepted(socket: EventLoopSocket) {
+        if (acceptedCount.get() >= MAX_ACCEPTED) {
+            socket.close()
+            return
+        }
+        acceptedCount.incrementAndGet()
+        scope.launch {
+            try {
+                establish(socket, ConnectionEnd.ACCEPTOR)?.let { serve(it) }
+            } finally {
+                acceptedCount.decrementAndGet()
                 socket.close()
-                continue
-            }
-            acceptedCount.incrementAndGet()
-            scope.launch {
-                try {
-                    establish(socket, ConnectionEnd.ACCEPTOR)?.let { serve(it) }
-                } finally {
-                    acceptedCount.decrementAndGet()
-                    socket.close()
-                }
             }
-            bucket = bucket.awaitToken()
         }
     }
 
