--- a/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
@@ -59,6 +59,9 @@
     val requests = CopyOnWriteArrayList<String>()
     val address = NetworkAddress("127.0.0.1:${listener.localPort}")
 
+    /** Released when the receiver has closed the connection of an endless response. */
+    val endlessResponsesClosed = CountDownLatch(1)
+
     private val acceptor = thread(isDaemon = true) {
         runCatching { while (true) listener.accept().let { socket -> thread(isDaemon = true) { serve(socket) } } }
     }
@@ -92,12 +95,27 @@
                 step.latch.await()
                 output.write(step.text.encodeToByteArray())
             }
+            is UpstreamStep.RespondEndlessly -> respondEndlessly(step, socket)
             UpstreamStep.Crash -> close()
             UpstreamStep.Hang -> Unit
         }
         return step is UpstreamStep.Respond || step is UpstreamStep.RespondAfter || step is UpstreamStep.Hang
     }
 
+    /** Writes until the receiver closes the connection. */
+    private fun respondEndlessly(step: UpstreamStep.RespondEndlessly, socket: Socket) {
+        try {
+            socket.getOutputStream().write(step.start.encodeToByteArray())
+            val block = step.block.encodeToByteArray()
+            while (true) {
+                socket.getOutputStream().write(block)
+                if (step.pauseMillis > 0) Thread.sleep(step.pauseMillis)
+            }
+        } catch (_: SocketException) {
+            endlessResponsesClosed.countDown()
+        }
+    }
+
     override fun close() {
         listener.close()
         // The kernel accepts connections to the closed port until the accepting thread has returned.
@@ -120,6 +138,9 @@
     /** Sends a response after [latch] is released. */
     data class RespondAfter(val latch: CountDownLatch, val text: String) : UpstreamStep
 
+    /** Sends [start] and then [block] until the receiver closes the connection, with [pauseMillis] after each block. */
+    data class RespondEndlessly(val start: String, val block: String, val pauseMillis: Long = 0) : UpstreamStep
+
     /** Closes all connections and the listener, as a crash of the process does. */
     data object Crash : UpstreamStep
 
