--- a/node/src/main/kotlin/boragelever/node/ControlLoop.kt
+++ b/node/src/main/kotlin/boragelever/node/ControlLoop.kt
@@ -202,7 +202,7 @@
             transition.effects.forEach(startEffect)
         } catch (e: Throwable) {
             // If the reducer threw, the previous state remains: a bug in one part must not stop the whole node. Errors
-            // such as a stack overflow are caught too, since a node without a control thread keeps serving a stale view.
+            // such as a stack overflow are caught too, since a node without a control thread serves a stale view.
             failures.incrementAndGet()
             log.error(e) { "[node] handling an event failed; it is dropped and the node continues: $event" }
         }
--- a/node/src/main/kotlin/boragelever/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/boragelever/node/peer/PeerTransport.kt
@@ -222,15 +222,19 @@
     }
 
     private suspend fun dial(address: NetworkAddress): PeerConnection? {
-        val (host, port) = address.hostAndPort()
         return withTimeoutOrNull(DIAL_TIMEOUT_MILLIS) {
             try {
+                val (host, port) = address.hostAndPort()
                 val socket = EventLoopSocket(SocketChannel.open(), loop)
                 socket.connectOrClose(InetSocketAddress(host, port))
                 establish(socket, ConnectionEnd.DIALLER)
             } catch (e: IOException) {
                 log.debug { "[peer] cannot connect to $address: ${e.message}" }
                 null
+            } catch (e: IllegalArgumentException) {
+                // Another program may have written the member row that holds the address.
+                log.warn { "[peer] '$address' is not an address that can be dialled: ${e.message}" }
+                null
             }
         }
     }
--- a/node/src/test/kotlin/boragelever/node/proxy/LateResponseTest.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/LateResponseTest.kt
@@ -10,8 +10,8 @@
 /**
  * Upstreams that send more than one response to a request on a connection that the node keeps.
  *
- * Guards against a caller that gets the response to another request. The extra bytes arrive with the response, while the
- * connection is idle, or at the point where the next response is expected.
+ * Guards against a caller that gets the response to another request. The extra bytes arrive with the response, while
+ * the connection is idle, or at the point where the next response is expected.
  */
 class LateResponseTest {
     internal class Case(
--- a/wire/src/test/kotlin/boragelever/wire/PeerFrameTest.kt
+++ b/wire/src/test/kotlin/boragelever/wire/PeerFrameTest.kt
@@ -18,6 +18,8 @@
 import org.junit.jupiter.params.provider.Arguments
 import org.junit.jupiter.params.provider.Arguments.arguments
 import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
 
 /** Guards against frames that crash the receiver, and against changes that break adjacent program versions. */
 class PeerFrameTest {
@@ -28,7 +30,34 @@
         assertEquals(expected, outcome.get() ?: outcome.getError())
     }
 
+    /** Frames that are cut, doubled, swapped or altered at random places, by fixed seeds. */
+    @ParameterizedTest
+    @ValueSource(ints = [1, 4, 64])
+    fun `an altered frame never throws`(alterations: Int) {
+        repeat(MUTATIONS) { seed ->
+            val random = Random(seed)
+            var bytes = known
+            repeat(alterations) { bytes = mutate(bytes, random) }
+            framePayload(bytes).flatMap { decodeFrame(it) }
+            decodeFrame(bytes)
+            decodeHello(bytes, key = null)
+        }
+    }
+
     private companion object {
+        const val MUTATIONS = 20_000
+
+        fun mutate(bytes: ByteArray, random: Random): ByteArray {
+            if (bytes.isEmpty()) return bytes
+            val index = random.nextInt(bytes.size)
+            return when (random.nextInt(8)) {
+                0 -> bytes.copyOf(index)
+                1 -> bytes + bytes.copyOfRange(index, minOf(bytes.size, index + 16))
+                2 -> bytes.copyOfRange(index, bytes.size) + bytes.copyOf(index)
+                else -> bytes.copyOf().also { it[index] = random.nextInt().toByte() }
+            }
+        }
+
         val from = NodeId("khomas-a-1")
         val heartbeat = PeerMessage.Heartbeat(7, ConfigId(ConfigVersion(3), Digest("ab")), 42)
         val known = bytesOf(PeerFrame(PROTOCOL_VERSION, from, heartbeat))
