--- a/node/src/main/kotlin/boragelever/node/net/SocketEventLoop.kt
+++ b/node/src/main/kotlin/boragelever/node/net/SocketEventLoop.kt
@@ -161,13 +161,7 @@
     }
 
     private fun select() {
-        guard {
-            if (tasks.isEmpty()) {
-                selector.select(::handleKey, selectTimeoutMillis())
-            } else {
-                selector.selectNow(::handleKey)
-            }
-        }
+        if (tasks.isNotEmpty()) selector.selectNow(::handleKey) else selector.select(::handleKey, selectTimeoutMillis())
     }
 
     private fun handleKey(key: SelectionKey) = guard { onReady(key) }
