Close a proxy that was never started without waiting for its thread

Cause: the pool of a proxy is closed on its loop thread and close waited for it; the thread of a proxy that was never started never runs, so Node.kill hung. NodeTest hangs by it in each case that starts one of its two nodes.

Change: the pool's close is dispatched to the loop, which runs its remaining tasks before it ends; nothing waits for it.

--- a/node/src/main/kotlin/boragelever/node/net/SocketEventLoop.kt
+++ b/node/src/main/kotlin/boragelever/node/net/SocketEventLoop.kt
@@ -123,7 +123,7 @@
         runOnLoopThread { (channel.keyFor(selector)?.attachment() as? ChannelWaiters)?.close() }
     }
 
-    /** Stops the thread; coroutines that still wait are not resumed. */
+    /** Stops the thread after the tasks that are already dispatched; coroutines that still wait are not resumed. */
     override fun close() {
         closed = true
         selector.wakeup()
@@ -139,6 +139,7 @@
             runTimers()
             select()
         }
+        runTasks()
         selector.close()
     }
 
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
@@ -12,11 +12,11 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withContext
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.nio.channels.SocketChannel
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.coroutines.EmptyCoroutineContext
 
 private val log = KotlinLogging.logger {}
 
@@ -107,8 +107,9 @@
         job.cancelAndJoin()
         listeners.forEach { it.close() }
         workers.forEach { worker ->
-            // The sockets of the pool belong to the loop thread, which may be about to use one of them.
-            withContext(worker.loop) { worker.pool.close() }
+            // The sockets of the pool belong to the loop thread, which may be about to use one of them. Nothing waits
+            // for it, since the thread never runs if the node could not be started.
+            worker.loop.dispatch(EmptyCoroutineContext) { worker.pool.close() }
             worker.loop.close()
         }
     }
