Review: a download that goes silent outlives its route's timeout

Cause: the deadline of a call has no effect once its answer is being passed on; only a 5 s idle timeout ends it.

--- a/review/src/Instance.java
+++ b/review/src/Instance.java
@@ -30,6 +30,8 @@
     volatile String state = "ready";
     /** Address to which heartbeats are sent; a case may put a delaying proxy there. */
     volatile String controlAddress;
+    /** Address in the heartbeats; a case may put a proxy there. */
+    volatile String address;
 
     Instance(Bench bench, Bench.Machine machine, String id, String service) throws IOException {
         this.bench = bench;
@@ -38,6 +40,7 @@
         this.service = service;
         machine.service = service;
         controlAddress = machine.control();
+        address = machine.app();
         server = new ServerSocket(Bench.port(machine.app()), 200, InetAddress.getByName(machine.ip));
         Bench.start(this::acceptAll);
     }
@@ -65,7 +68,7 @@
     }
 
     String beat(long number) {
-        return "{\"service\":\"" + service + "\",\"address\":\"" + machine.app() + "\",\"zone\":\"" + machine.zone
+        return "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + machine.zone
             + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
             + "\",\"coldLeft\":\"0ms\",\"seq\":" + number + ",\"born\":" + born + "}";
     }
