--- a/review/src/Instance.java
+++ b/review/src/Instance.java
@@ -5,6 +5,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -27,6 +29,7 @@
     private final ServerSocket server;
     volatile boolean beating = true;
     volatile boolean ended = false;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     volatile String state = "ready";
     /** Address to which heartbeats are sent; a case may put a delaying proxy there. */
     volatile String controlAddress;
@@ -100,6 +103,12 @@
         server.close();
     }
 
+    /** Ends the instance as a crash does: it closes its connections and sends nothing any more. */
+    void crash() throws IOException {
+        end();
+        for (Socket socket : connections) socket.close();
+    }
+
     private void acceptAll() {
         while (!ended) {
             try {
@@ -112,6 +121,7 @@
     }
 
     private void serve(Socket socket) {
+        connections.add(socket);
         try (socket) {
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
@@ -124,6 +134,8 @@
             }
         } catch (IOException closed) {
             // The node closed the connection.
+        } finally {
+            connections.remove(socket);
         }
     }
 
