Review: smaller chunks in the case of the small chunks

Cause: with 32-byte chunks and 160,000 bytes 7 to 18 of 20 connections were closed, near the bound of three at the least.

--- a/review/src/SmallChunks.java
+++ b/review/src/SmallChunks.java
@@ -6,8 +6,8 @@
 
 /** LOST: an instance answers in many small chunks, and the node closes the kept connection without an answer. */
 final class SmallChunks {
-    private static final int CHUNK_BYTES = Integer.getInteger("chunk", 32);
-    private static final int BODY_BYTES = Integer.getInteger("body", 160_000);
+    private static final int CHUNK_BYTES = Integer.getInteger("chunk", 16);
+    private static final int BODY_BYTES = Integer.getInteger("body", 240_000);
     private static final int REQUESTS = Integer.getInteger("requests", 20);
 
     static boolean holds(Record record, boolean trouble) throws Exception {
