--- a/review/src/PopularRequest.java
+++ b/review/src/PopularRequest.java
@@ -8,7 +8,7 @@
 final class PopularRequest {
     private static final int INSTANCES = 6;
     private static final int CRASHED = 2;
-    private static final long WORK = 200;
+    private static final long WORK = 300;
     private static final long SETTLE = 6_000;
     private static final long JUDGED = 12_000;
 
@@ -52,7 +52,7 @@
         Bench.start(() -> {
             while (sending[0]) {
                 Bench.start(() -> onLater.add(client.send("GET", "/agenda/today", 2000, null)));
-                Instance.sleep(25);
+                Instance.sleep(12);
             }
         });
         Thread.sleep(5000);
