Keep an acknowledged leave of an upstream over a restart of its node

What callers saw: an instance deregistered, its node acknowledged that, was killed and started again.

Cause: the order of an instance's announcements and the tombstone of its deregistration were in the memory of one process. The same cause acts on a draining instance until its next heartbeat. Within a process, the order was also forgotten when a registration expired or the instance crashed, and the start that a deregistration names was not read.

Change: each leaving upstream is a withdrawal (instance, start, sequence) in the node's member record and in its row in the store. The leave is acknowledged once the row is written, after 500 ms at the latest. A restarted node holds registrations until it has read its row, for 3 s at most, and a peer that knew the previous process returns its withdrawals. Expired and crashed upstreams leave a tombstone with their order, and a deregistration of an earlier start has no effect.

Why it works: a late heartbeat precedes the withdrawal in the order, and the withdrawal is in the store before the instance is told so; without it a restarted node uses no registration.

The tests of platform, core, wire, yaml, standin and node pass.

--- a/core/src/main/kotlin/boragelever/core/control/DiscoveryReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/DiscoveryReducer.kt
@@ -1,52 +1,87 @@
 package boragelever.core.control
 
 import boragelever.core.InstanceId
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
-
-/** State of upstream discovery: the upstreams that are registered at this node. */
-public data class DiscoveryState(
-    public val upstreams: PersistentMap<InstanceId, LocalUpstream> = persistentMapOf(),
-    /** Tombstones of deregistered upstreams, so that a delayed registration does not restore them. */
-    public val tombstones: PersistentMap<InstanceId, Tombstone> = persistentMapOf(),
-)
-
-/** A registered upstream and the time at which its registration expires unless it is renewed. */
-public data class LocalUpstream(
-    public val record: UpstreamRecord,
-    public val expiresMillis: Long,
-    public val order: RegistrationOrder? = null,
-)
-
-/** Last registration of an upstream that was deregistered. */
-public data class Tombstone(public val order: RegistrationOrder?, public val createdMillis: Long)
+import boragelever.core.Withdrawal
 
 internal fun reduceDiscovery(state: ControlState, event: Event): Transition {
     val nowMillis = event.context.nowMillis
     val discovery = state.discovery
     val next = when (event) {
-        is Event.UpstreamRegistered -> discovery.register(event)
-        is Event.UpstreamDeregistered -> discovery.deregister(event.instance, nowMillis)
-        is Event.UpstreamCrashed -> discovery.copy(upstreams = discovery.upstreams.remove(event.instance))
-        is Event.Ticked -> discovery.withoutExpired(nowMillis, state.pausedMillis != null)
+        is Event.Started -> discovery.copy(heldUntilMillis = nowMillis + MAX_HOLD_MILLIS)
+        is Event.UpstreamRegistered -> discovery.register(event).awaitAcknowledgement(event)
+        is Event.UpstreamDeregistered ->
+            discovery.deregister(event).awaitAcknowledgement(event.instance, nowMillis)
+        is Event.UpstreamCrashed -> discovery.remove(event.instance, nowMillis)
+        is Event.Ticked -> discovery.withoutExpired(nowMillis, state.pausedMillis != null).releaseIfDue(nowMillis)
         else -> discovery
     }
-    if (next === discovery && event !is Event.StopRequested) return state.withoutEffects()
-    return state.copy(discovery = next)
+    val change = when (event) {
+        is Event.UpstreamCrashed -> UpstreamChange.DIED
+        is Event.Ticked -> UpstreamChange.EXPIRED
+        else -> UpstreamChange.WITHDRAWN
+    }
+    val isUnchanged = next === discovery && event !is Event.StopRequested
+    val applied = if (isUnchanged) state.withoutEffects() else state.applyDiscovery(next, change, nowMillis)
+    return applied
+        .andThen { it.persistWithdrawals(event.context) }
+        .andThen { it.acknowledgeLeaving(nowMillis) }
+}
+
+private fun DiscoveryState.releaseIfDue(nowMillis: Long): DiscoveryState =
+    if (heldUntilMillis != null && nowMillis >= heldUntilMillis) release() else this
+
+private fun DiscoveryState.awaitAcknowledgement(event: Event.UpstreamRegistered): DiscoveryState =
+    if (event.upstream.state == UpstreamState.DRAINING && event.order != null) {
+        awaitAcknowledgement(event.upstream.instance, event.context.nowMillis)
+    } else {
+        this
+    }
+
+private fun DiscoveryState.awaitAcknowledgement(instance: InstanceId, nowMillis: Long): DiscoveryState {
+    if (instance in unacknowledged) return this
+    return copy(unacknowledged = unacknowledged.put(instance, nowMillis + MAX_PERSIST_WAIT_MILLIS))
+}
+
+/** Acknowledges the leaving upstreams whose withdrawal is in the store, and those that have waited long enough. */
+private fun ControlState.acknowledgeLeaving(nowMillis: Long): Transition {
+    if (discovery.unacknowledged.isEmpty()) return withoutEffects()
+    val unpersisted = membership.localRecord?.withdrawals.orEmpty()
+        .filter { it !in membership.rows.persisted }
+        .map { it.instance }
+    val acknowledged = discovery.unacknowledged
+        .filter { (instance, dueMillis) -> instance !in unpersisted || nowMillis >= dueMillis }
+        .keys
+    if (acknowledged.isEmpty()) return withoutEffects()
+    val remaining = acknowledged.fold(discovery.unacknowledged) { rest, instance -> rest.remove(instance) }
+    return copy(discovery = discovery.copy(unacknowledged = remaining))
+        .with(*acknowledged.map { Effect.AcknowledgeLeave(it) }.toTypedArray())
+}
+
+/** Applies withdrawals that the previous process of this node had acknowledged. */
+internal fun ControlState.adoptWithdrawals(withdrawals: List<Withdrawal>, nowMillis: Long): Transition {
+    val next = discovery.adopt(withdrawals, nowMillis)
+    return if (next == discovery) withoutEffects() else applyDiscovery(next, UpstreamChange.WITHDRAWN, nowMillis)
+}
+
+/** Applies the registrations that were held until the withdrawals of the previous process were known. */
+internal fun ControlState.releaseHeldRegistrations(nowMillis: Long): Transition =
+    if (discovery.isHistoryKnown) {
+        withoutEffects()
+    } else {
+        applyDiscovery(discovery.release(), UpstreamChange.WITHDRAWN, nowMillis)
+    }
+
+/** Replaces the state of discovery by [next] and reports [removal] for each upstream that it no longer contains. */
+private fun ControlState.applyDiscovery(next: DiscoveryState, removal: UpstreamChange, nowMillis: Long): Transition {
+    val notices = changeNotices(discovery, next, removal)
+    return copy(discovery = next)
         .publishLocalUpstreams(nowMillis)
-        .andThen { it.with(*changeNotices(discovery, next, event).toTypedArray()) }
+        .andThen { it.with(*notices.toTypedArray()) }
 }
 
 /** Returns a notice for each upstream whose state differs between [before] and [after]. */
-private fun changeNotices(before: DiscoveryState, after: DiscoveryState, event: Event): List<Effect> {
-    val removed = (before.upstreams.keys - after.upstreams.keys).map { instance ->
-        val change = when (event) {
-            is Event.UpstreamCrashed -> UpstreamChange.DIED
-            is Event.Ticked -> UpstreamChange.EXPIRED
-            else -> UpstreamChange.WITHDRAWN
-        }
-        report(Notice.UpstreamChanged(instance, change))
-    }
+private fun changeNotices(before: DiscoveryState, after: DiscoveryState, removal: UpstreamChange): List<Effect> {
+    val removed = (before.upstreams.keys - after.upstreams.keys).map { report(Notice.UpstreamChanged(it, removal)) }
     val changed = after.upstreams.values.map { it.record }
         .filter { before.upstreams[it.instance]?.record?.state != it.state }
         .map { report(Notice.UpstreamChanged(it.instance, it.state.toUpstreamChange())) }
@@ -60,58 +95,6 @@
         UpstreamState.DRAINING -> UpstreamChange.DRAINING
     }
 
-/**
- * Applies a registration unless a later one of the same instance or for the same address is known.
- *
- * An instance that registers with the address of another one replaces it.
- */
-private fun DiscoveryState.register(event: Event.UpstreamRegistered): DiscoveryState {
-    if (isOutdated(event)) return this
-    val record = event.upstream
-    val replaced = upstreams.filterValues {
-        it.order != null && it.record.address == record.address && it.record.instance != record.instance
-    }.keys
-    val remaining = replaced.fold(upstreams) { rest, instance -> rest.remove(instance) }
-    val registered = LocalUpstream(record, event.context.nowMillis + event.ttlMillis, event.order)
-    return copy(upstreams = remaining.put(record.instance, registered), tombstones = tombstones.remove(record.instance))
-}
-
-private fun DiscoveryState.isOutdated(event: Event.UpstreamRegistered): Boolean {
-    val order = event.order ?: return false
-    val known = upstreams[event.upstream.instance]?.order
-    val tombstone = tombstones[event.upstream.instance]
-    val sameAddress = upstreams.values.filter {
-        it.record.address == event.upstream.address && it.record.instance != event.upstream.instance
-    }
-    return (known != null && order <= known) ||
-        (tombstone != null && order.startedEpochMillis <= (tombstone.order?.startedEpochMillis ?: Long.MAX_VALUE)) ||
-        sameAddress.any { order.startedEpochMillis < (it.order?.startedEpochMillis ?: Long.MIN_VALUE) }
-}
-
-private fun DiscoveryState.deregister(instance: InstanceId, nowMillis: Long): DiscoveryState {
-    val order = upstreams[instance]?.order
-    return copy(
-        upstreams = upstreams.remove(instance),
-        tombstones = tombstones.put(instance, Tombstone(order, nowMillis)),
-    )
-}
-
-/**
- * Returns the state without expired registrations and tombstones.
- *
- * After a pause, renewals may still be queued behind the tick, so nothing expires until the next one.
- */
-private fun DiscoveryState.withoutExpired(nowMillis: Long, wasPaused: Boolean): DiscoveryState {
-    if (wasPaused) return this
-    val expired = upstreams.filterValues { nowMillis >= it.expiresMillis }.keys
-    val expiredTombstones = tombstones.filterValues { nowMillis - it.createdMillis >= TOMBSTONE_RETENTION_MILLIS }.keys
-    if (expired.isEmpty() && expiredTombstones.isEmpty()) return this
-    return DiscoveryState(
-        upstreams = expired.fold(upstreams) { rest, instance -> rest.remove(instance) },
-        tombstones = expiredTombstones.fold(tombstones) { rest, instance -> rest.remove(instance) },
-    )
-}
-
 /** Broadcasts this node's record immediately if its upstreams or its intention to leave have changed. */
 private fun ControlState.publishLocalUpstreams(nowMillis: Long): Transition {
     val localRecord = membership.localRecord ?: return withoutEffects()
@@ -119,9 +102,26 @@
     val registered = discovery.upstreams.values
         .map { if (isLeaving) it.record.copy(state = UpstreamState.DRAINING) else it.record }
         .sortedBy { it.instance.value }
-    if (registered == localRecord.upstreams && isLeaving == localRecord.leaving) return withoutEffects()
-    return publishLocalRecord(nowMillis, urgent = true) { copy(upstreams = registered, leaving = isLeaving) }
+    val withdrawals = discovery.withdrawals()
+    val isUnchanged = registered == localRecord.upstreams &&
+        isLeaving == localRecord.leaving &&
+        withdrawals == localRecord.withdrawals
+    if (isUnchanged) return withoutEffects()
+    return publishLocalRecord(nowMillis, urgent = true) {
+        copy(upstreams = registered, leaving = isLeaving, withdrawals = withdrawals)
+    }
 }
 
-/** Retention of tombstones; a registration that is delayed longer would be accepted as new. */
-private const val TOMBSTONE_RETENTION_MILLIS = 60_000L
+/**
+ * Longest time for which registrations are held after the start, if the store does not return this node's row.
+ *
+ * An upstream gets no work meanwhile, although its node has the configuration from its peers.
+ */
+private const val MAX_HOLD_MILLIS = 3_000L
+
+/**
+ * Longest time for which the acknowledgement waits for the store.
+ *
+ * An instance takes an acknowledgement that is later than a second for a failure.
+ */
+private const val MAX_PERSIST_WAIT_MILLIS = 500L
--- a/core/src/main/kotlin/boragelever/core/control/Effect.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Effect.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.ConfigVersion
 import boragelever.core.FileName
+import boragelever.core.InstanceId
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
 import boragelever.core.config.ConfigDocument
@@ -44,6 +45,9 @@
     /** Closes the connection to a peer. */
     public data class ClosePeer(public val peer: NodeId) : Effect
 
+    /** Acknowledges to [instance] that it is leaving; each such announcement is acknowledged once. */
+    public data class AcknowledgeLeave(public val instance: InstanceId) : Effect
+
     /** Logs [notice] and counts it in the metrics. */
     public data class Report(public val notice: Notice) : Effect
 
--- a/core/src/main/kotlin/boragelever/core/control/Event.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Event.kt
@@ -73,7 +73,12 @@
     ) : Event
 
     /** A local upstream deregistered. */
-    public data class UpstreamDeregistered(override val context: EventContext, public val instance: InstanceId) : Event
+    public data class UpstreamDeregistered(
+        override val context: EventContext,
+        public val instance: InstanceId,
+        /** Start of the instance that deregistered, on its own clock, or `null` if it did not say. */
+        public val startedEpochMillis: Long? = null,
+    ) : Event
 
     /** A local upstream crashed: it closed or refused connections while the calls with [inFlight] were running. */
     public data class UpstreamCrashed(
--- a/core/src/main/kotlin/boragelever/core/control/Join.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Join.kt
@@ -129,13 +129,19 @@
 internal fun ControlState.handlePeerConnected(record: MemberRecord, nowMillis: Long): Transition {
     val peer = record.node
     if (peer == identity.node) return withoutEffects()
-    val wasLive = membership.table[peer]?.isLive == true
+    val known = membership.table[peer]
+    val wasLive = known?.isLive == true
+    val previous = listOfNotNull(known).filter {
+        it.record.incarnation < record.incarnation && it.record.withdrawals.isNotEmpty()
+    }
     val merged = mergeRecords(listOf(MemberStatusRecord(record, MemberStatus.ALIVE)), nowMillis)
     val join = membership.join
     val isProbedPeer = join.hasJoined && !wasLive && record.peerAddress == join.probedAddress
     return merged.transition
         .andThen { it.recordContact(peer, nowMillis).withoutEffects() }
         .andThen { it.notifyOfStatus(peer) }
+        // The restarted process may not be able to read its row in the store.
+        .andThenIf(previous.isNotEmpty()) { it.sendRecords(peer, previous) }
         .andThenIf(!join.hasJoined && join.tableRequestedFrom == null && mayRequestTableFrom(record)) {
             it.requestTable(peer, nowMillis)
         }
--- a/core/src/main/kotlin/boragelever/core/control/Member.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Member.kt
@@ -6,6 +6,7 @@
 import boragelever.core.NodeId
 import boragelever.core.RegionName
 import boragelever.core.ServiceName
+import boragelever.core.Withdrawal
 import boragelever.core.ZoneName
 import kotlinx.serialization.EncodeDefault
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -29,6 +30,11 @@
     @SerialName("l") public val leaving: Boolean = false,
     /** Regions from which this node, as a relay, gets no reply. */
     @SerialName("x") public val unreachableRegions: Set<RegionName> = emptySet(),
+    /** Upstreams that announced to this node that they leave; a restarted process of the node needs them. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @EncodeDefault(EncodeDefault.Mode.NEVER)
+    @SerialName("w")
+    public val withdrawals: List<Withdrawal> = emptyList(),
 )
 
 /** One upstream that is co-located with a node. */
--- a/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRecords.kt
@@ -53,7 +53,8 @@
     val localRecord = membership.localRecord ?: return withoutEffects()
     val order = update.record.version.compareTo(localRecord.version)
     val wrong = order > 0 || (order == 0 && update.status != MemberStatus.ALIVE)
-    return if (wrong && !hasAnnouncedLeave) raiseIncarnation(update.record.incarnation, nowMillis) else withoutEffects()
+    return adoptWithdrawals(update.record.withdrawals, nowMillis)
+        .andThenIf(wrong && !hasAnnouncedLeave) { it.raiseIncarnation(update.record.incarnation, nowMillis) }
 }
 
 private fun ControlState.mergeRecord(update: MemberStatusRecord, nowMillis: Long): Transition? {
--- a/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
@@ -1,6 +1,7 @@
 package boragelever.core.control
 
 import boragelever.core.EventContext
+import boragelever.core.Withdrawal
 import boragelever.core.store.Row
 import boragelever.core.store.RowCondition
 import boragelever.core.store.RowKey
@@ -82,13 +83,28 @@
         localRecord.zone,
         localRecord.peerAddress,
         epochMillis,
+        localRecord.withdrawals,
     )
     val write = RowWrite.Put(RowKey(MEMBER_PREFIX + localRecord.node.value), value)
     val command = StoreCommand.Transact(nextWriteId(context), emptyList(), listOf(write))
     val call = callStore(RequestOwner.MEMBERSHIP, command)
-    return call.send { updateMemberRows { copy(writeRequest = call.request, nextWriteAtMillis = null) } }
+    return call.send {
+        updateMemberRows {
+            copy(writeRequest = call.request, writing = localRecord.withdrawals, nextWriteAtMillis = null)
+        }
+    }
 }
 
+/** Writes this node's row at once if it lacks a withdrawal; after a failure the scheduled write does so. */
+internal fun ControlState.persistWithdrawals(context: EventContext): Transition {
+    val rows = membership.rows
+    val isIdle = rows.writeRequest == null && rows.failures == 0 && discovery.isHistoryKnown
+    return if (isIdle && hasUnpersistedWithdrawals && admitsStoreCalls()) writeMemberRow(context) else withoutEffects()
+}
+
+private val ControlState.hasUnpersistedWithdrawals: Boolean
+    get() = membership.localRecord?.withdrawals.orEmpty().any { it !in membership.rows.persisted }
+
 /** Handles the store's result of a scan or a write of member rows. */
 internal fun ControlState.handleMemberRowsResult(event: Event.StoreCommandCompleted): Transition =
     when (event.request) {
@@ -100,8 +116,10 @@
 private fun ControlState.handleScanResult(context: EventContext, result: StoreResult): Transition {
     val rows = (result as? StoreResult.RowsRead)?.rows ?: return scheduleScanRetry(context).withoutEffects()
     val epochMillis = context.nowMillis + identity.epochOffsetMillis
-    val others = rows.filter { (it.value as? RowValue.Member)?.node != identity.node }
+    val (own, others) = rows.partition { (it.value as? RowValue.Member)?.node == identity.node }
     val (fresh, expired) = others.partition { it.isFresh(epochMillis) }
+    val ownRow = own.firstNotNullOfOrNull { it.value as? RowValue.Member }
+    val isLastPage = rows.size < ROWS_PER_SCAN
     val addresses = fresh
         .mapNotNull { it.value as? RowValue.Member }
         .shuffled(context.random("member-choice"))
@@ -129,7 +147,14 @@
     }
     return next
         .removeExpiredRows(context, expired)
-        .andThenIf(rows.size >= ROWS_PER_SCAN) { it.scanMemberRows(rows.last().key) }
+        .andThenIf(ownRow != null) { it.adoptPersistedWithdrawals(checkNotNull(ownRow).withdrawals, context.nowMillis) }
+        .andThenIf(ownRow != null || isLastPage) { it.releaseHeldRegistrations(context.nowMillis) }
+        .andThenIf(!isLastPage) { it.scanMemberRows(rows.last().key) }
+}
+
+private fun ControlState.adoptPersistedWithdrawals(withdrawals: List<Withdrawal>, nowMillis: Long): Transition {
+    val persisted = if (membership.rows.persisted.isEmpty()) withdrawals else membership.rows.persisted
+    return updateMemberRows { copy(persisted = persisted) }.adoptWithdrawals(withdrawals, nowMillis)
 }
 
 private fun Row.isFresh(epochMillis: Long): Boolean {
@@ -148,8 +173,10 @@
 }
 
 private fun ControlState.handleWriteResult(context: EventContext, result: StoreResult): Transition {
+    val rows = membership.rows
     val isWritten = result is StoreResult.Committed
-    val failures = if (isWritten) 0 else membership.rows.failures + 1
+    val persisted = if (isWritten) rows.writing else rows.persisted
+    val failures = if (isWritten) 0 else rows.failures + 1
     val waitMillis = if (isWritten) {
         RENEWAL_INTERVAL_MILLIS - RENEWAL_JITTER_MILLIS / 2 +
             context.jitterMillis("member-write", RENEWAL_JITTER_MILLIS)
@@ -158,7 +185,13 @@
             context.fullJitterMillis("member-write", failures, ROW_SCAN_INTERVAL_MILLIS, MAX_WRITE_BACKOFF_MILLIS)
     }
     return updateMemberRows {
-        copy(writeRequest = null, failures = failures, nextWriteAtMillis = context.nowMillis + waitMillis)
+        copy(
+            writeRequest = null,
+            writing = emptyList(),
+            persisted = persisted,
+            failures = failures,
+            nextWriteAtMillis = context.nowMillis + waitMillis,
+        )
     }.withoutEffects()
 }
 
--- a/core/src/main/kotlin/boragelever/core/control/MembershipState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MembershipState.kt
@@ -3,6 +3,7 @@
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
 import boragelever.core.RegionName
+import boragelever.core.Withdrawal
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
@@ -145,6 +146,10 @@
     public val scanRequest: RequestId? = null,
     /** Request of the write in flight, or `null`. */
     public val writeRequest: RequestId? = null,
+    /** Withdrawals that the write in flight contains. */
+    public val writing: List<Withdrawal> = emptyList(),
+    /** Withdrawals that the row in the store contains. */
+    public val persisted: List<Withdrawal> = emptyList(),
     /** Number of failed scans and writes in a row; the wait after a failure grows with it. */
     public val failures: Int = 0,
 )
--- a/core/src/main/kotlin/boragelever/core/store/RowValue.kt
+++ b/core/src/main/kotlin/boragelever/core/store/RowValue.kt
@@ -7,6 +7,7 @@
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
 import boragelever.core.RegionName
+import boragelever.core.Withdrawal
 import boragelever.core.ZoneName
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -61,6 +62,8 @@
         public val zone: ZoneName,
         public val peerAddress: NetworkAddress,
         public val renewedAtEpochMillis: Long,
+        /** Upstreams that announced to the node that they leave. */
+        public val withdrawals: List<Withdrawal> = emptyList(),
     ) : RowValue
 
     /** Row `claim/<key>`: reserves the only execution of a non-idempotent call. */
--- a/core/src/test/kotlin/boragelever/core/control/NodeConcernsTest.kt
+++ b/core/src/test/kotlin/boragelever/core/control/NodeConcernsTest.kt
@@ -15,7 +15,6 @@
 import boragelever.core.store.RowValue
 import boragelever.core.store.RowWrite
 import boragelever.core.store.StoreCommand
-import boragelever.core.store.StoreResult
 import boragelever.core.store.WriteId
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
@@ -190,14 +189,11 @@
 
         /** Returns the addresses found and the rows deleted after a scan that returns one row. */
         fun ReducerDriver.scanRow(name: String, renewedMillis: Long): Pair<List<String>, List<String>> {
-            val scan = tick(1_000).effects.filterIsInstance<Effect.CallStore>().first {
-                it.command is StoreCommand.ScanRows
-            }
             val own = checkNotNull(state.membership.localRecord)
             val address = NetworkAddress("$name:1")
             val value = RowValue.Member(NodeId(name), own.incarnation, own.region, own.zone, address, renewedMillis)
             val row = Row(RowKey(MEMBER_PREFIX + name), value, Revision(4), WriteId("w"))
-            step { Event.StoreCommandCompleted(it, scan.request, StoreResult.RowsRead(listOf(row))) }
+            completeMemberScan(listOf(row))
             val removed = effects.filterIsInstance<Effect.CallStore>().mapNotNull {
                 it.command as? StoreCommand.Transact
             }
--- a/core/src/test/kotlin/boragelever/core/control/ReducerDriver.kt
+++ b/core/src/test/kotlin/boragelever/core/control/ReducerDriver.kt
@@ -6,6 +6,9 @@
 import boragelever.core.config.ConfigDocument
 import boragelever.core.config.ConfigId
 import boragelever.core.config.Configuration
+import boragelever.core.store.Row
+import boragelever.core.store.StoreCommand
+import boragelever.core.store.StoreResult
 
 /** Sends single events to the reducer of one node; [effects] are those of the last step. */
 internal class ReducerDriver(size: MeshSize = MeshSize(1, 1, 3)) {
@@ -48,6 +51,14 @@
         return step { Event.DocumentCompiled(it, ConfigVersion(version), compiled) }
     }
 
+    /** Starts the scan of the member rows and completes it with [rows]. */
+    fun completeMemberScan(rows: List<Row> = emptyList()): ReducerDriver {
+        val scan = tick(1_000).effects.filterIsInstance<Effect.CallStore>().first {
+            it.command is StoreCommand.ScanRows
+        }
+        return step { Event.StoreCommandCompleted(it, scan.request, StoreResult.RowsRead(rows)) }
+    }
+
     private fun recordTransition(transition: Transition): ReducerDriver {
         state = transition.state
         effects = transition.effects
--- a/core/src/test/kotlin/boragelever/core/control/UpstreamOrderTest.kt
+++ b/core/src/test/kotlin/boragelever/core/control/UpstreamOrderTest.kt
@@ -21,7 +21,7 @@
     @ParameterizedTest
     @MethodSource("cases")
     internal fun `the node has the expected upstreams`(case: Case) {
-        val core = ReducerDriver()
+        val core = ReducerDriver().completeMemberScan()
         case.steps(core)
         val upstreams = core.state.discovery.upstreams.values.map { "${it.record.instance} ${it.record.state}" }
         assertEquals(case.expected, upstreams.sorted().joinToString())
@@ -41,12 +41,51 @@
             step { Event.UpstreamRegistered(it, record, TTL_MILLIS, RegistrationOrder(started, sequence)) }
         }
 
-        fun ReducerDriver.deregister(instance: String = "a") {
-            step { Event.UpstreamDeregistered(it, InstanceId(instance)) }
+        fun ReducerDriver.deregister(started: Long? = null) {
+            step { Event.UpstreamDeregistered(it, InstanceId("a"), started) }
+        }
+
+        fun ReducerDriver.crash() {
+            step { Event.UpstreamCrashed(it, InstanceId("a"), emptyList()) }
         }
 
         @JvmStatic
-        fun cases(): List<Case> =
+        fun cases(): List<Case> = registrations() + removals()
+
+        private fun removals(): List<Case> =
+            listOf(
+                Case("a late deregistration of an earlier start has no effect", "a SERVING") {
+                    register(started = 6, sequence = 1)
+                    deregister(started = 5)
+                },
+                Case("an upstream that deregistered twice can restart", "a SERVING") {
+                    register(started = 5, sequence = 1)
+                    deregister()
+                    deregister()
+                    register(started = 6, sequence = 1)
+                },
+                Case("a deregistration of an unknown upstream outdates the registrations of its start", "") {
+                    deregister(started = 5)
+                    register(started = 5, sequence = 9)
+                },
+                Case("a delayed registration does not restore a crashed upstream", "") {
+                    register(started = 5, sequence = 2)
+                    crash()
+                    register(started = 5, sequence = 1)
+                },
+                Case("a crashed upstream registers again", "a SERVING") {
+                    register(started = 5, sequence = 2)
+                    crash()
+                    register(started = 5, sequence = 3)
+                },
+                Case("a delayed registration does not restore an expired upstream", "") {
+                    register(started = 5, sequence = 2)
+                    tick(TTL_MILLIS)
+                    register(started = 5, sequence = 1)
+                },
+            )
+
+        private fun registrations(): List<Case> =
             listOf(
                 Case("an older registration does not end the draining", "a DRAINING") {
                     register(started = 5, sequence = 2, state = UpstreamState.DRAINING)
--- a/node/src/main/kotlin/boragelever/node/EffectRunner.kt
+++ b/node/src/main/kotlin/boragelever/node/EffectRunner.kt
@@ -25,6 +25,7 @@
     val folder: ConfigFolder,
     val transport: PeerTransport,
     val snapshots: AtomicReference<RoutingSnapshot?>,
+    val leaveAcknowledgements: LeaveAcknowledgements,
     val noticeCounters: NoticeCounters,
     val exit: () -> Unit,
 )
@@ -62,6 +63,7 @@
             is Effect.SendToPeer -> targets.transport.send(effect.peer, effect.address, effect.message)
             is Effect.ContactAddress -> targets.transport.contact(effect.address)
             is Effect.ClosePeer -> targets.transport.disconnect(effect.peer)
+            is Effect.AcknowledgeLeave -> targets.leaveAcknowledgements.acknowledge(effect.instance)
             is Effect.Report -> {
                 targets.noticeCounters.record(effect.notice)
                 log.write(logLine(effect.notice))
--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -91,6 +91,7 @@
             Random(settings.seed),
         )
     private val tracing = Tracing(settings)
+    private val leaveAcknowledgements = LeaveAcknowledgements()
     private val proxy: ProxyServer =
         ProxyServer(
             settings.proxySettings(),
@@ -98,7 +99,9 @@
             store.metering(dependencies.callPlatform),
             ::handleObservation,
             ProxyTelemetry(tracing.openTelemetry, registry),
-            NodeLocalRequestHandler(settings, { state.notReadyReason() }, { control.submitAndAwait(it) }),
+            NodeLocalRequestHandler(settings, { state.notReadyReason() }, leaveAcknowledgements) {
+                control.submitAndAwait(it)
+            },
         )
     private val admin = AdminServer(settings.adminHost, settings.adminPort, NodeAdminBackend())
     private val stopRequested = AtomicBoolean()
@@ -224,7 +227,16 @@
         )
 
     private fun effectRunner(): EffectRunner {
-        val targets = EffectTargets(store, dependencies.folder, transport, snapshots, noticeCounters, ::exit)
+        val targets =
+            EffectTargets(
+                store,
+                dependencies.folder,
+                transport,
+                snapshots,
+                leaveAcknowledgements,
+                noticeCounters,
+                ::exit,
+            )
         return EffectRunner(targets, scope) { control.submit(it) }
     }
 
--- a/node/src/main/kotlin/boragelever/node/NodeLocalRequestHandler.kt
+++ b/node/src/main/kotlin/boragelever/node/NodeLocalRequestHandler.kt
@@ -1,6 +1,7 @@
 package boragelever.node
 
 import boragelever.core.control.Event
+import boragelever.core.control.UpstreamState
 import boragelever.node.proxy.LocalHttpRequest
 import boragelever.node.proxy.LocalHttpResponse
 import boragelever.node.proxy.LocalRequestHandler
@@ -14,22 +15,28 @@
 private const val NOT_FOUND = 404
 private const val UNAVAILABLE = 503
 
-/** Handles requests of the platform and the local upstream; responds to a heartbeat after its event is reduced. */
+/**
+ * Handles requests of the platform and the local upstream.
+ *
+ * Responds to a heartbeat after its event is reduced, and to an upstream that leaves once that is acknowledged.
+ */
 internal class NodeLocalRequestHandler(
     private val settings: NodeSettings,
     private val notReadyReason: () -> String?,
+    private val leaveAcknowledgements: LeaveAcknowledgements,
     private val submit: suspend (EventFactory) -> Unit,
 ) : LocalRequestHandler {
     override suspend fun handle(httpRequest: LocalHttpRequest): LocalHttpResponse =
         when (val request = decodeLocalRequest(httpRequest.method, httpRequest.path, httpRequest.body)) {
             is LocalRequest.Readiness -> LocalHttpResponse(if (notReadyReason() == null) OK else UNAVAILABLE)
             is LocalRequest.Heartbeat -> {
-                val ttlMillis = settings.heartbeatMillis * MAX_MISSED_HEARTBEATS
-                submit { Event.UpstreamRegistered(it, request.upstream, ttlMillis, request.order) }
+                register(request)
                 LocalHttpResponse(OK, "{}")
             }
             is LocalRequest.Deregistration -> {
-                submit { Event.UpstreamDeregistered(it, request.instance) }
+                leaveAcknowledgements.awaitAfter(request.instance) {
+                    submit { Event.UpstreamDeregistered(it, request.instance, request.startedEpochMillis) }
+                }
                 LocalHttpResponse(OK, "{}")
             }
             is LocalRequest.Malformed -> {
@@ -38,4 +45,16 @@
             }
             is LocalRequest.Unknown -> LocalHttpResponse(NOT_FOUND)
         }
+
+    private suspend fun register(request: LocalRequest.Heartbeat) {
+        val ttlMillis = settings.heartbeatMillis * MAX_MISSED_HEARTBEATS
+        val upstream = request.upstream
+        val announce: suspend () -> Unit = {
+            submit { Event.UpstreamRegistered(it, upstream, ttlMillis, request.order) }
+        }
+        when (upstream.state) {
+            UpstreamState.DRAINING -> leaveAcknowledgements.awaitAfter(upstream.instance, announce)
+            UpstreamState.STARTING, UpstreamState.SERVING -> announce()
+        }
+    }
 }
