Notice silent connections to the store within a second or two

Cause: a watch request that waits at the store can't be told from one whose connection is silent until its wait of 5 s and its timeout are over. A watcher counted as confirmed all that time, so nobody else asked. A change answers the watchers of all regions at once, so they wait in step, and a watcher reported only to its own region.

Change: the watchers of the regions take turns: their waits end 1 s apart. Each reports its results to the watchers of the other regions, which pull a configuration that their own connection does not deliver. A watcher is confirmed until the result of its request in flight is overdue.

Why it works: whenever the silence starts, the wait of some watcher ends within a second; its next request opens a new connection, and its report reaches the others over connections between nodes.

Requests to the store by the watchers of three regions: 0.6 a second by their waits before, 1 a second now.

--- a/core/src/main/kotlin/boragelever/core/control/SourceCoverage.kt
+++ b/core/src/main/kotlin/boragelever/core/control/SourceCoverage.kt
@@ -1,12 +1,18 @@
 package boragelever.core.control
 
-import boragelever.core.config.ConfigId
+import boragelever.core.RegionName
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 
 /**
  * Health of the configuration source watch, of this node and of the watcher of its region.
  *
  * One member of each region watches the configuration source. While the results of the store confirm what it knows of
  * the source, it sends a report to the members of its region at short intervals.
+ *
+ * A connection to the store that has gone silent looks like one on which nothing has changed, until the wait of the
+ * request is over. The watchers of the regions therefore take turns: their waits end one after the other, and each
+ * watcher reports its result to the others, which pull a configuration that their own connection does not deliver.
  */
 public data class SourceWatchHealth(
     /** Time of the last result that confirmed what this node knows of the source, or `null` before the first. */
@@ -14,6 +20,8 @@
     /** Time of the last report of a watcher, or `null` before the first. */
     public val lastReportMillis: Long? = null,
     public val nextReportMillis: Long = 0,
+    /** Time of the last result that the watcher of each other region reported. */
+    public val remoteResultsMillis: PersistentMap<RegionName, Long> = persistentMapOf(),
 )
 
 /** True if this node watches the source itself: as region watcher, or because no watcher reports. */
@@ -49,14 +57,49 @@
 internal fun ControlState.receiveSourceReport(event: Event.PeerMessageReceived): Transition {
     val report = event.message as? PeerMessage.SourceReport ?: return withoutEffects()
     val nowMillis = event.context.nowMillis
-    return updateSource { copy(watchHealth = watchHealth.copy(lastReportMillis = nowMillis)) }
-        .recordPeerConfig(event.from, report.config, nowMillis)
+    val region = membership.table[event.from]?.record?.region ?: return withoutEffects()
+    val health = source.watchHealth
+    val next = if (region == identity.region) {
+        health.copy(lastReportMillis = nowMillis)
+    } else {
+        health.copy(remoteResultsMillis = health.remoteResultsMillis.put(region, nowMillis))
+    }
+    return updateSource { copy(watchHealth = next) }.recordPeerConfig(event.from, report.config, nowMillis)
+}
+
+/** Reports a result of the store to the watchers of the other regions. */
+internal fun ControlState.reportResultToOtherRegions(): Transition {
+    if (!isRegionWatcher()) return withoutEffects()
+    val report = PeerMessage.SourceReport(pendingConfig?.id ?: applied?.id)
+    val watchers = membership.table.regions.keys
+        .filter { it != identity.region }
+        .flatMap { membership.table.relays(it, WATCHERS_PER_REGION) }
+    return foldTransitions(watchers) { state, watcher -> state.send(watcher, report) }
 }
 
-/** True if a recent result confirmed what this node knows of the source, and the next result is not overdue. */
+/**
+ * Time for which the store is to defer the result of the next watch request if there is no change.
+ *
+ * The first region by name sets the turns; the wait of another region ends its turn number times
+ * [RESULT_INTERVAL_MILLIS] after the last result of the first. A node that shares with no other region has all turns.
+ */
+internal fun ControlState.watchWaitMillis(nowMillis: Long): Long {
+    val results = source.watchHealth.remoteResultsMillis.filterValues { nowMillis - it < REMOTE_RESULT_VALIDITY_MILLIS }
+    if (!isRegionWatcher() || results.isEmpty()) return RESULT_INTERVAL_MILLIS
+    val regions = (results.keys + identity.region).sortedBy { it.value }
+    val turns = minOf(regions.size, MAX_TURNS)
+    val cycleMillis = turns * RESULT_INTERVAL_MILLIS
+    val firstResultMillis = results[regions.first()] ?: return cycleMillis
+    val turnMillis = firstResultMillis + regions.indexOf(identity.region) * RESULT_INTERVAL_MILLIS
+    val waitMillis = (turnMillis - nowMillis).mod(cycleMillis)
+    return if (waitMillis < MIN_WAIT_MILLIS) waitMillis + cycleMillis else waitMillis
+}
+
+/** True if a result confirmed what this node knows of the source, and the next result is not overdue. */
 private fun ControlState.isConfirmed(nowMillis: Long): Boolean {
-    val lastConfirmedMillis = source.watchHealth.lastConfirmedMillis ?: return false
-    return source.failures == 0 && nowMillis - lastConfirmedMillis < CONFIRMATION_VALIDITY_MILLIS
+    if (source.watchHealth.lastConfirmedMillis == null || source.failures > 0) return false
+    val phase = source.phase
+    return phase !is SourcePhase.Requesting || nowMillis < phase.overdueMillis
 }
 
 /** Members of a region that watch the source; another one takes over when the reports stop. */
@@ -68,5 +111,19 @@
 /** Time without a report after which a node watches the source itself; two reports may be lost. */
 private const val WATCHER_TIMEOUT_MILLIS = 1_100L
 
-/** Bound of the maximum wait of a watch request plus a round trip; a result that takes longer is overdue. */
-private const val CONFIRMATION_VALIDITY_MILLIS = 5_600L
+/**
+ * Interval in which one of the watchers that share their results gets one.
+ *
+ * A watcher notices a silent connection at the end of its wait. This interval, the timeout of the request, a new
+ * request and the pulls of the other regions together stay below the 3 s after which a configuration must be in force.
+ */
+private const val RESULT_INTERVAL_MILLIS = 1_000L
+
+/** Number of turns; further regions share them, so that no wait is longer than the validity of its result. */
+private const val MAX_TURNS = 4
+
+/** Wait below which a watcher leaves out its turn, since it has just had a result. */
+private const val MIN_WAIT_MILLIS = 100L
+
+/** Time after which the watcher of another region counts as gone; it has missed its turn by then. */
+private const val REMOTE_RESULT_VALIDITY_MILLIS = 6_000L
--- a/core/src/main/kotlin/boragelever/core/control/SourceReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/SourceReducer.kt
@@ -38,8 +38,8 @@
     /** No command is in flight; the next one is sent at [untilMillis]. */
     public data class Idle(public val untilMillis: Long = 0) : SourcePhase
 
-    /** The command [request] is in flight. */
-    public data class Requesting(public val request: RequestId) : SourcePhase
+    /** The command [request] is in flight; its result is overdue at [overdueMillis]. */
+    public data class Requesting(public val request: RequestId, public val overdueMillis: Long) : SourcePhase
 }
 
 internal fun reduceSource(state: ControlState, event: Event): Transition =
@@ -70,17 +70,23 @@
 private fun ControlState.callSourceIfDue(context: EventContext): Transition {
     val phase = source.phase
     val isDue = phase is SourcePhase.Idle && context.nowMillis >= phase.untilMillis
-    return if (isDue && watchesSource(context.nowMillis) && admitsStoreCalls()) callSource() else withoutEffects()
+    return if (isDue && watchesSource(context.nowMillis) && admitsStoreCalls()) {
+        callSource(context.nowMillis)
+    } else {
+        withoutEffects()
+    }
 }
 
-private fun ControlState.callSource(): Transition {
+private fun ControlState.callSource(nowMillis: Long): Transition {
     val revision = source.revision
+    val waitMillis = if (revision == null) 0 else watchWaitMillis(nowMillis)
     val command = when (revision) {
         null -> StoreCommand.ReadConfigSource
-        else -> StoreCommand.AwaitConfigSource(revision, MAX_WAIT_MILLIS)
+        else -> StoreCommand.AwaitConfigSource(revision, waitMillis)
     }
     val call = callStore(RequestOwner.SOURCE, command)
-    return call.send { updateSource { copy(phase = SourcePhase.Requesting(call.request)) } }
+    val phase = SourcePhase.Requesting(call.request, nowMillis + waitMillis + RESULT_SLACK_MILLIS)
+    return call.send { updateSource { copy(phase = phase) } }
 }
 
 private fun ControlState.sourceCommandCompleted(result: StoreResult, context: EventContext): Transition =
@@ -89,6 +95,7 @@
             updateSource { copy(phase = SourcePhase.Idle(), revision = result.revision, failures = 0) }
                 .recordConfirmation(context.nowMillis)
                 .offerSourced(result.config)
+                .andThen { it.reportResultToOtherRegions() }
                 .andThen { it.callSourceIfDue(context) }
         is StoreResult.ConfigSourceHistoryLost ->
             updateSource { copy(phase = SourcePhase.Idle(), revision = null) }.callSourceIfDue(context)
@@ -107,12 +114,8 @@
     return if (isNewer) updateSource { copy(lastOffered = id) }.offerConfig(id, config.document) else withoutEffects()
 }
 
-/**
- * Longest time for which the store defers the result of a watch request without a change.
- *
- * Shorter waits detect a silent connection sooner but send more requests, each of which is billed.
- */
-private const val MAX_WAIT_MILLIS = 5_000L
+/** Time beyond the wait of a command in which its result is expected; it covers the timeout of the connection. */
+private const val RESULT_SLACK_MILLIS = 600L
 private const val MIN_RETRY_MILLIS = 100L
 private const val BASE_RETRY_MILLIS = 200L
 
--- a/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
+++ b/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
@@ -14,6 +14,7 @@
 import boragelever.core.config.ConfigDocument
 import boragelever.core.config.ConfigId
 import boragelever.core.routing.RoutingSnapshot
+import boragelever.core.store.ConfigSourceSnapshot
 import boragelever.core.store.ObjectKey
 import boragelever.core.store.RowValue
 import boragelever.core.store.RowWrite
@@ -55,6 +56,9 @@
     var isStoreUp: Boolean = true
     var store = FakeStore()
 
+    /** Time before which all connections to the store were opened that have gone silent. */
+    private var silencedMillis = 0L
+
     /** True if the link between two nodes is cut. A cut link loses messages without an error. */
     var isCut: (FakeNode, FakeNode) -> Boolean = { _, _ -> false }
     val nodes: List<FakeNode> = size.identities().map { FakeNode(it) }
@@ -217,8 +221,44 @@
     private fun latency(from: FakeNode, to: FakeNode): Long =
         if (from.identity.region == to.identity.region) 1 + random.nextLong(2) else 12 + random.nextLong(3)
 
+    /** Writes [version] to the configuration source. */
+    fun writeSource(version: Long) {
+        val snapshot = ConfigSourceSnapshot(ConfigVersion(version), sampleDocument(version))
+        store = store.copy(revision = store.revision + 1, source = snapshot to store.revision + 1)
+    }
+
+    /** Makes the open connections of all nodes to the store silent; new ones work. */
+    fun silenceStoreConnections() {
+        silencedMillis = nowMillis
+    }
+
+    /** Completes a watch request when the source changes, at the end of its wait or, if silent, at its timeout. */
+    private fun awaitSource(
+        node: FakeNode,
+        effect: Effect.CallStore,
+        command: StoreCommand.AwaitConfigSource,
+        openedMillis: Long = nowMillis,
+        generation: Int = node.generation,
+    ) {
+        val waitedMillis = nowMillis - openedMillis
+        val isSilent = openedMillis < silencedMillis
+        val isChanged = (store.source?.second ?: 0) > command.after.value
+        val result = when {
+            isSilent -> STORE_DOWN.takeIf { waitedMillis >= command.waitMillis + WATCH_TIMEOUT_SLACK_MILLIS }
+            isChanged || waitedMillis >= command.waitMillis -> execute(command)
+            else -> null
+        }
+        if (result == null) {
+            schedule(5) { awaitSource(node, effect, command, openedMillis, generation) }
+        } else {
+            schedule(5) { dispatch(node, generation) { Event.StoreCommandCompleted(it, effect.request, result) } }
+        }
+    }
+
     private fun callStore(node: FakeNode, effect: Effect.CallStore) {
         val generation = node.generation
+        val command = effect.command
+        if (command is StoreCommand.AwaitConfigSource) return awaitSource(node, effect, command)
         schedule(5) {
             val result = if (isStoreUp) execute(effect.command) else STORE_DOWN
             dispatch(node, generation) { Event.StoreCommandCompleted(it, effect.request, result) }
@@ -268,16 +308,25 @@
     }
 }
 
+/** Time beyond its wait after which the platform client gives up a watch request. */
+private const val WATCH_TIMEOUT_SLACK_MILLIS = 500L
+
 private val STORE_DOWN = StoreResult.StoreFailed(StoreFailure.Unavailable("the store is down"))
 
 /** Number of regions, zones in each, and nodes in each zone. */
-internal data class MeshSize(val regions: Int, val zones: Int, val nodes: Int, val seeds: Int = 3) {
+internal data class MeshSize(
+    val regions: Int,
+    val zones: Int,
+    val nodes: Int,
+    val seeds: Int = 3,
+    val origin: ConfigOrigin = ConfigOrigin.Folder,
+) {
     fun identities(): List<NodeIdentity> {
         val all = (0 until regions).flatMap { r ->
             (0 until zones).flatMap { z -> (0 until nodes).map { identity(r, z, it) } }
         }
         val seedAddresses = all.shuffled(Random(1)).take(seeds).map { it.peerAddress }
-        return all.map { it.copy(seeds = seedAddresses) }
+        return all.map { it.copy(seeds = seedAddresses, origin = origin) }
     }
 
     private fun identity(r: Int, z: Int, index: Int): NodeIdentity {
