--- a/core/src/main/kotlin/boragelever/core/call/Admission.kt
+++ b/core/src/main/kotlin/boragelever/core/call/Admission.kt
@@ -90,6 +90,7 @@
         serviceConfig = service.config,
         fingerprint = fingerprintOf(request),
         deadlineMillis = nowMillis + min(route.config.timeoutMillis, request.remainingMillis ?: Long.MAX_VALUE),
+        endMillis = route.config.totalTimeoutMillis.takeIf { it > 0 }?.let { nowMillis + it },
         maxAttempts = min(route.config.retry.maxAttempts, request.attemptsLeft ?: Int.MAX_VALUE),
         idempotent = route.config.idempotency.allowsRepeat(request.method),
     )
--- a/core/src/main/kotlin/boragelever/core/call/CallState.kt
+++ b/core/src/main/kotlin/boragelever/core/call/CallState.kt
@@ -89,8 +89,10 @@
     public val service: ServiceName,
     public val serviceConfig: ServiceConfig,
     public val fingerprint: Fingerprint,
-    /** Monotonic time in milliseconds of the call's deadline. */
+    /** Monotonic time in milliseconds of the call's deadline, until which a response must have started. */
     public val deadlineMillis: Long,
+    /** Monotonic time in milliseconds at which a response in progress is cut off, or `null` for no limit. */
+    public val endMillis: Long?,
     /** Maximum number of attempts that reach an instance. */
     public val maxAttempts: Int,
     /** True if running the call more than once does no harm. */
--- a/core/src/main/kotlin/boragelever/core/call/FirstHopReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/call/FirstHopReducer.kt
@@ -16,7 +16,7 @@
         is CallEvent.BodyCompleted -> bodyCompleted(state, event)
         is CallEvent.BodyFailed -> bodyFailed(state, event)
         is CallEvent.HedgeTimerFired -> hedgeTimerFired(state)
-        is CallEvent.DeadlinePassed -> deadlinePassed(state)
+        is CallEvent.DeadlinePassed -> deadlinePassed(state, event.context.nowMillis)
         is CallEvent.CallerDisconnected -> callerDisconnected(state)
         is CallEvent.SlotGranted, is CallEvent.SlotDenied -> state.noEffects()
     }
@@ -136,7 +136,7 @@
     return CallTransition(state.copy(phase = CallPhase.Ended, inFlight = emptyMap()), record)
 }
 
-private fun deadlinePassed(state: CallState.FirstHop): CallTransition =
+private fun deadlinePassed(state: CallState.FirstHop, nowMillis: Long): CallTransition =
     when (state.phase) {
         CallPhase.Claiming -> {
             val refusal = notRunRefusal(GATEWAY_TIMEOUT, RefusalReason.DEADLINE)
@@ -148,9 +148,23 @@
             cancelled.state.giveUp(Refusal(GATEWAY_TIMEOUT, outcome, RefusalReason.DEADLINE))
                 .prepend(*cancelled.effects.toTypedArray())
         }
-        else -> state.noEffects()
+        is CallPhase.Streaming, is CallPhase.Resuming -> state.limitResponse(nowMillis)
+        CallPhase.New, CallPhase.AwaitingRouting, CallPhase.ClaimAbandoned, CallPhase.Ended -> state.noEffects()
     }
 
+/**
+ * Cuts off a response in progress once the call has reached its total timeout.
+ *
+ * A call that holds a claim is completed, so that a client retry gets the recorded response.
+ */
+private fun CallState.FirstHop.limitResponse(nowMillis: Long): CallTransition {
+    val endMillis = plan?.endMillis ?: return noEffects()
+    if (nowMillis < endMillis) return with(CallEffect.SetDeadline(endMillis))
+    if (claim != null) return with(CallEffect.AbortResponse)
+    val cancelled = cancelRunning()
+    return cancelled.state.abort().prepend(*cancelled.effects.toTypedArray())
+}
+
 /**
  * Cancels the call unless it holds a claim and may be running. Such a call is completed, so that a client retry gets
  * the recorded response.
--- a/core/src/main/kotlin/boragelever/core/config/Configuration.kt
+++ b/core/src/main/kotlin/boragelever/core/config/Configuration.kt
@@ -80,6 +80,8 @@
     public val priority: Int = 2,
     /** Maximum time between two bytes of a response body; beyond it the response counts as stalled. */
     public val idleTimeoutMillis: Long = 5_000,
+    /** Maximum duration of a call including its response body, or 0 for no limit. */
+    public val totalTimeoutMillis: Long = 0,
     public val retry: RetryConfig = RetryConfig(),
     public val idempotency: IdempotencyConfig = IdempotencyConfig(),
 )
--- a/core/src/main/kotlin/boragelever/core/config/ConfigurationSchema.kt
+++ b/core/src/main/kotlin/boragelever/core/config/ConfigurationSchema.kt
@@ -226,6 +226,12 @@
             DURATION_RANGE,
             "Maximum time between two bytes of a response body; beyond it the response counts as stalled.",
         )
+        val totalTimeout = millis(
+            "total_timeout_ms",
+            default.totalTimeoutMillis,
+            0L..DAY_MILLIS,
+            "Maximum duration of the call including its response body, which is then cut off; 0 sets no limit.",
+        )
         val retry = section("retry", retrySchema, "Retries of idempotent calls and calls that provably did not run.")
         val idempotency =
             section("idempotency", idempotencySchema, "Rules for calls that must be executed at most once.")
@@ -239,6 +245,7 @@
                 objectiveMillis = it[objective],
                 priority = it[priority],
                 idleTimeoutMillis = it[idleTimeout],
+                totalTimeoutMillis = it[totalTimeout],
                 retry = it[retry],
                 idempotency = it[idempotency],
             )
--- a/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
@@ -145,6 +145,15 @@
             a call that is late before it was sent is reported as not run |
               GET | arrived late | select, 504 not-run deadline
             a download in progress may exceed the deadline | GET | arrived a response late | @FORWARDED
+            a download in progress is cut off at the total timeout |
+              GET | arrived-limited a response late | @FORWARDED, cancel 1, AbortResponse
+            a download in progress is not cut off before the total timeout |
+              GET | arrived-limited a response early | @FORWARDED
+            a download that is being resumed is cut off at the total timeout |
+              GET | arrived-limited a response stalled b late | @RESUMED, cancel 2, AbortResponse
+            a response is cut off at the total timeout, but recorded if it is claimed |
+              KEYED | arrived-limited acquired a response late ended |
+              AcquireClaim, @SENT, BufferResponse, forward 1, AbortResponse, RecordResponse
             a call to an instance of another node is refused | HOP | arrived-moved | 503 not-run unknown-instance
             a call to a draining instance is refused | HOP | arrived-draining | 503 not-run not-serving
             a quarantined request does not reach the upstream | HOP | arrived-quarantined | 503 not-run quarantined
--- a/core/src/test/kotlin/boragelever/core/call/CallScript.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallScript.kt
@@ -109,6 +109,7 @@
         "arrived-once" to arrivedWithAttempts(1),
         "arrived-twice" to arrivedWithAttempts(2),
         "arrived-hedged" to arrived(snapshot(ROUTE.copy(retry = RetryConfig(hedgeAfterMillis = 5)))),
+        "arrived-limited" to arrived(snapshot(ROUTE.copy(timeoutMillis = 500, totalTimeoutMillis = 1_000))),
         "arrived-moved" to arrived(SNAPSHOT.copy(localUpstreams = emptyMap())),
         "arrived-draining" to arrived(
             SNAPSHOT.copy(localUpstreams = mapOf(A.instance to UPSTREAM.copy(state = UpstreamState.DRAINING))),
@@ -143,6 +144,7 @@
         "hedge" to CallEvent.HedgeTimerFired(NOW),
         "disconnected" to CallEvent.CallerDisconnected(NOW),
         "late" to CallEvent.DeadlinePassed(LATE),
+        "early" to CallEvent.DeadlinePassed(EventContext(999, 1)),
         "acquired" to claimCompleted(ClaimOutcome.Acquired),
         "recorded" to claimCompleted(ClaimOutcome.Recorded(RecordedResponse(201))),
         "pending" to claimCompleted(ClaimOutcome.Pending),
--- a/yaml/src/test/kotlin/boragelever/yaml/ConfigDocumentsTest.kt
+++ b/yaml/src/test/kotlin/boragelever/yaml/ConfigDocumentsTest.kt
@@ -125,6 +125,7 @@
                 objective_ms: 25
                 priority: 26
                 idle_timeout_ms: 12
+                total_timeout_ms: 27
                 retry: {max_attempts: 1, budget_percent: 13, attempt_timeout_ms: 14, hedge_after_ms: 15}
                 idempotency:
                   require_key: true
@@ -164,6 +165,7 @@
                     objectiveMillis = 25,
                     priority = 26,
                     idleTimeoutMillis = 12,
+                    totalTimeoutMillis = 27,
                     retry = RetryConfig(1, budgetPercent = 13, attemptTimeoutMillis = 14, hedgeAfterMillis = 15),
                     idempotency = IdempotencyConfig(
                         true,
