--- a/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
@@ -68,6 +68,8 @@
 
 private fun Long?.isDue(nowMillis: Long): Boolean = this != null && nowMillis >= this
 
+private val ControlState.ownRowKey: RowKey get() = RowKey(MEMBER_PREFIX + identity.node.value)
+
 private fun ControlState.scanMemberRows(after: RowKey?): Transition {
     val call = callStore(RequestOwner.MEMBERSHIP, StoreCommand.ScanRows(MEMBER_PREFIX, ROWS_PER_SCAN, after))
     return call.send { updateMemberRows { copy(scanRequest = call.request, nextScanAtMillis = null) } }
@@ -85,7 +87,7 @@
         epochMillis,
         localRecord.withdrawals,
     )
-    val write = RowWrite.Put(RowKey(MEMBER_PREFIX + localRecord.node.value), value)
+    val write = RowWrite.Put(ownRowKey, value)
     val command = StoreCommand.Transact(nextWriteId(context), emptyList(), listOf(write))
     val call = callStore(RequestOwner.MEMBERSHIP, command)
     return call.send {
@@ -116,7 +118,7 @@
 private fun ControlState.handleScanResult(context: EventContext, result: StoreResult): Transition {
     val rows = (result as? StoreResult.RowsRead)?.rows ?: return scheduleScanRetry(context).withoutEffects()
     val epochMillis = context.nowMillis + identity.epochOffsetMillis
-    val (own, others) = rows.partition { (it.value as? RowValue.Member)?.node == identity.node }
+    val (own, others) = rows.partition { it.key == ownRowKey }
     val (fresh, expired) = others.partition { it.isFresh(epochMillis) }
     val ownRow = own.firstNotNullOfOrNull { it.value as? RowValue.Member }
     val isLastPage = rows.size < ROWS_PER_SCAN
--- a/node/src/test/kotlin/boragelever/node/proxy/LateResponseTest.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/LateResponseTest.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.NodeId
 import boragelever.core.call.CallHeaderNames
+import boragelever.core.call.RefusalReason
 import boragelever.core.config.RouteConfig
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
@@ -36,7 +37,7 @@
                 NodeId("a"),
                 bindHost = "127.0.0.1",
                 threads = 1,
-                headerNames = CallHeaderNames(requestIdHeader = "x-id"),
+                headerNames = CallHeaderNames(requestIdHeader = "x-id", notRunHeader = "x-not-run"),
             )
             FakeMesh(listOf(upstream), route, settings = settings).use { mesh ->
                 val first = rawCall(mesh.proxyPort, request(case.firstMethod, "1"))
@@ -65,6 +66,9 @@
         }
 
         val ONE = response("1", "one")
+        const val REFUSAL =
+            "HTTP/1.1 503 Full\r\nx-id: 1\r\nx-not-run: full\r\nContent-Length: 0\r\n\r\n"
+        val REFUSED = listOf("503 not-run: upstream-shed: ${RefusalReason.UPSTREAM_SHED.remedy}", "200 two")
         const val CHUNKED_ONE = "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"
 
         @JvmStatic
@@ -78,6 +82,14 @@
                 CHUNKED_ONE,
                 CHUNKED_ONE + response("2", "two"),
             ),
+            Case("a refusal once more together with it", REFUSAL + REFUSAL, expected = REFUSED),
+            Case("a refusal once more while the connection is idle", REFUSAL, late = REFUSAL, expected = REFUSED),
+            Case(
+                "a refusal once more where the next response is expected",
+                REFUSAL,
+                REFUSAL + response("2", "two"),
+                expected = REFUSED,
+            ),
             Case("an interim response after the response", ONE, late = "HTTP/1.1 102 Processing\r\n\r\n"),
             Case("bytes beyond the stated length", ONE + "more"),
             Case("bytes after the last chunk", CHUNKED_ONE + "3\r\ntwo\r\n0\r\n\r\n"),
