--- a/app/src/main/kotlin/boragelever/app/StatusCommand.kt
+++ b/app/src/main/kotlin/boragelever/app/StatusCommand.kt
@@ -69,6 +69,6 @@
         ) +
             status.publisher.folderErrors.map { "rejected    $it" } +
             status.upstreams.map { "upstream    ${it.instance} of ${it.service} at ${it.address}, ${it.state}" } +
-            status.quarantine.map { "quarantined ${it.fingerprint}, ${it.remainingMs} ms left" }
+            status.quarantine.map { "quarantined ${it.fingerprint}, ${it.remainingMs} ms left, ${it.crashes} crashes" }
     return lines.joinToString("\n")
 }
--- a/bench/src/main/kotlin/boragelever/bench/Mesh.kt
+++ b/bench/src/main/kotlin/boragelever/bench/Mesh.kt
@@ -179,7 +179,7 @@
             is Effect.ContactAddress -> send(node, effect.address, null)
             is Effect.ClosePeer -> closeConnection(node, effect)
             is Effect.Exit -> stop(node)
-            is Effect.InstallSnapshot, is Effect.AcknowledgeLeave, is Effect.Report -> Unit
+            is Effect.InstallSnapshot, is Effect.AcknowledgeLeave, is Effect.WatchCompletions, is Effect.Report -> Unit
         }
     }
 
--- a/core/src/main/kotlin/boragelever/core/Ids.kt
+++ b/core/src/main/kotlin/boragelever/core/Ids.kt
@@ -92,7 +92,7 @@
     override fun toString(): String = value
 }
 
-/** Identifies a request by its idempotency key, or by method, path and body digest. */
+/** Identifies a request by its idempotency key, or by caller, host, method, path and body digest. */
 @Serializable
 @JvmInline
 public value class Fingerprint(public val value: String) {
--- a/core/src/main/kotlin/boragelever/core/call/Admission.kt
+++ b/core/src/main/kotlin/boragelever/core/call/Admission.kt
@@ -5,9 +5,11 @@
 import boragelever.core.config.allowsRepeat
 import boragelever.core.routing.CompiledRoute
 import boragelever.core.routing.CompiledService
+import boragelever.core.routing.QuarantineDecision
 import boragelever.core.routing.RoutingSnapshot
 import boragelever.core.routing.chooseDestination
 import boragelever.core.routing.matchRoute
+import boragelever.core.routing.quarantineDecision
 import kotlin.math.min
 
 private const val BAD_REQUEST = 400
@@ -44,9 +46,13 @@
     val noEndpoint = notRunRefusal(UNAVAILABLE, RefusalReason.NO_ENDPOINT)
     val service =
         chooseDestination(route, event.context.seed)?.let { snapshot.services[it] } ?: return refuse(noEndpoint)
-    val plan = createPlan(request, route, service, arrivedMillis ?: event.context.nowMillis)
+    val fingerprint = fingerprintOf(request, snapshot.callingService)
+    val decision = snapshot.quarantineDecision(fingerprint, service.name, event.context.nowMillis)
+    val trialInstance = (decision as? QuarantineDecision.Try)?.instance
+    val plan = createPlan(request, route, service, fingerprint, arrivedMillis ?: event.context.nowMillis)
+        .copy(trialInstance = trialInstance)
     val planned = copy(plan = plan)
-    val refusal = refusalFor(planned, plan, snapshot, event.context.nowMillis)
+    val refusal = refusalFor(planned, plan, decision, event.context.nowMillis)
     return when {
         refusal != null -> planned.refuse(refusal)
         !snapshot.canRoute(service.name) -> planned.awaitRouting(event, service.name, noEndpoint)
@@ -82,13 +88,14 @@
     request: CallRequest,
     route: CompiledRoute,
     service: CompiledService,
+    fingerprint: Fingerprint,
     nowMillis: Long,
 ): CallPlan =
     CallPlan(
         route = route,
         service = service.name,
         serviceConfig = service.config,
-        fingerprint = fingerprintOf(request),
+        fingerprint = fingerprint,
         deadlineMillis = nowMillis + min(route.config.timeoutMillis, request.remainingMillis ?: Long.MAX_VALUE),
         endMillis = route.config.totalTimeoutMillis.takeIf { it > 0 }?.let { nowMillis + it },
         maxAttempts = min(route.config.retry.maxAttempts, request.attemptsLeft ?: Int.MAX_VALUE),
@@ -98,7 +105,7 @@
 private fun refusalFor(
     state: CallState.FirstHop,
     plan: CallPlan,
-    snapshot: RoutingSnapshot,
+    decision: QuarantineDecision,
     nowMillis: Long,
 ): Refusal? {
     val isKeyMissing = plan.route.config.idempotency.requireKey && !plan.idempotent && state.request.key == null
@@ -106,7 +113,7 @@
         plan.deadlineMillis <= nowMillis -> notRunRefusal(GATEWAY_TIMEOUT, RefusalReason.DEADLINE)
         plan.maxAttempts < 1 -> notRunRefusal(UNAVAILABLE, RefusalReason.BUDGET_SPENT)
         isKeyMissing -> notRunRefusal(BAD_REQUEST, RefusalReason.KEY_REQUIRED)
-        snapshot.isQuarantined(plan.fingerprint, nowMillis) -> notRunRefusal(UNAVAILABLE, RefusalReason.QUARANTINED)
+        decision == QuarantineDecision.Refuse -> notRunRefusal(UNAVAILABLE, RefusalReason.QUARANTINED)
         else -> null
     }
 }
@@ -115,15 +122,15 @@
     val deadline = CallEffect.SetDeadline(plan.deadlineMillis)
     val key = request.key
     if (key == null || plan.idempotent) {
-        val select = CallEffect.SelectEndpoint(plan.service, excludedInstances, spendsBudget = false)
-        return copy(phase = CallPhase.Selecting).with(deadline, select)
+        return copy(phase = CallPhase.Selecting).with(deadline, selectFirstEndpoint(plan))
     }
     val claim = CallEffect.AcquireClaim(claimRow(key, plan.route.name), requestDigestOf(request))
     return copy(phase = CallPhase.Claiming).with(deadline, claim)
 }
 
-internal fun RoutingSnapshot.isQuarantined(fingerprint: Fingerprint, nowMillis: Long): Boolean =
-    (quarantined[fingerprint] ?: 0) > nowMillis
+/** Selects the endpoint of the first attempt. */
+internal fun CallState.FirstHop.selectFirstEndpoint(plan: CallPlan): CallEffect =
+    CallEffect.SelectEndpoint(plan.service, excludedInstances, spendsBudget = false, plan.trialInstance)
 
 /** Ends the call with a refusal from this node. */
 internal fun CallState.FirstHop.refuse(refusal: Refusal): CallTransition =
--- a/core/src/main/kotlin/boragelever/core/call/Attempts.kt
+++ b/core/src/main/kotlin/boragelever/core/call/Attempts.kt
@@ -63,10 +63,15 @@
 /**
  * Whether another attempt may be started.
  *
- * The attempt limit counts attempts that reach an instance; refusals by nodes before that have a limit of their own.
+ * The attempt limit counts attempts that reach an instance; refusals by nodes before that have a limit of their own. A
+ * trial of a quarantined request is sent once.
  */
 internal fun CallState.FirstHop.mayStart(plan: CallPlan): Boolean =
-    instanceAttempts < plan.maxAttempts && startedAttempts < plan.maxAttempts + EXTRA_HOP_ATTEMPTS
+    if (plan.trialInstance != null) {
+        startedAttempts == 0
+    } else {
+        instanceAttempts < plan.maxAttempts && startedAttempts < plan.maxAttempts + EXTRA_HOP_ATTEMPTS
+    }
 
 /** Attempts in addition to the route's limit that may be refused by a node before they reach an instance. */
 private const val EXTRA_HOP_ATTEMPTS = 2
--- a/core/src/main/kotlin/boragelever/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/boragelever/core/call/CallEffect.kt
@@ -7,6 +7,7 @@
 import boragelever.core.config.QueueConfig
 import boragelever.core.control.UpstreamRecord
 import boragelever.core.routing.Endpoint
+import boragelever.core.routing.TrialId
 import boragelever.core.store.RecordedResponse
 import boragelever.core.store.RowKey
 
@@ -36,6 +37,8 @@
         public val excluded: Set<InstanceId>,
         /** True if the attempt consumes a token of the retry budget. */
         public val spendsBudget: Boolean,
+        /** The only instance that may be chosen, or `null` for any. */
+        public val only: InstanceId? = null,
     ) : CallEffect
 
     /** Waits for a slot of a local upstream; results in [CallEvent.SlotGranted] or [CallEvent.SlotDenied]. */
@@ -44,6 +47,8 @@
         public val queue: QueueConfig,
         /** Priority among the waiting calls; the lowest value goes first. */
         public val priority: Int = 0,
+        /** The trial that the call wants to be, of which one call at a time is granted a slot; `null` if none. */
+        public val trial: TrialId? = null,
     ) : CallEffect
 
     /** Releases the slot of the local upstream. */
@@ -106,6 +111,8 @@
     public data class LocalUpstream(
         public val upstream: UpstreamRecord,
         public val fingerprint: Fingerprint? = null,
+        /** True if the call is the trial of a quarantined request. */
+        public val isTrial: Boolean = false,
     ) : AttemptTarget
 }
 
--- a/core/src/main/kotlin/boragelever/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/boragelever/core/call/CallEvent.kt
@@ -37,8 +37,11 @@
     /** A slot of the local upstream was granted. */
     public data class SlotGranted(override val context: EventContext) : CallEvent
 
-    /** No slot of the local upstream was granted in time. */
-    public data class SlotDenied(override val context: EventContext) : CallEvent
+    /** No slot of the local upstream was granted in time, or another call is the trial. */
+    public data class SlotDenied(
+        override val context: EventContext,
+        public val reason: RefusalReason = RefusalReason.SHED,
+    ) : CallEvent
 
     /** The response head of an attempt has been read. */
     public data class ResponseStarted(
--- a/core/src/main/kotlin/boragelever/core/call/CallRequest.kt
+++ b/core/src/main/kotlin/boragelever/core/call/CallRequest.kt
@@ -4,6 +4,7 @@
 import boragelever.core.Fingerprint
 import boragelever.core.IdempotencyKey
 import boragelever.core.RouteName
+import boragelever.core.ServiceName
 import boragelever.core.routing.RouteMatchInput
 import boragelever.core.sha256
 import boragelever.core.store.RowKey
@@ -37,10 +38,19 @@
     public data class Streamed(public val sizeBytes: Long?) : RequestBody
 }
 
-/** Returns a fingerprint that identifies [request] across callers by its key, or else by method, path and body. */
-public fun fingerprintOf(request: CallRequest): Fingerprint {
+/**
+ * Returns a fingerprint that identifies [request] on all nodes by its key, or else by caller, host, method, target and
+ * body.
+ *
+ * @param caller service that sent the request, or `null` if it is not known.
+ */
+public fun fingerprintOf(request: CallRequest, caller: ServiceName? = null): Fingerprint {
     val key = request.key
-    val parts = if (key != null) listOf("key", key.value) else listOf("request") + identityOf(request)
+    val parts = if (key != null) {
+        listOf("key", key.value)
+    } else {
+        listOf("request", caller?.value.orEmpty(), request.host?.lowercase().orEmpty()) + identityOf(request)
+    }
     return Fingerprint(sha256(parts).value)
 }
 
--- a/core/src/main/kotlin/boragelever/core/call/CallState.kt
+++ b/core/src/main/kotlin/boragelever/core/call/CallState.kt
@@ -7,6 +7,7 @@
 import boragelever.core.control.UpstreamRecord
 import boragelever.core.routing.CompiledRoute
 import boragelever.core.routing.Endpoint
+import boragelever.core.routing.TrialId
 import boragelever.core.store.RowKey
 
 /** State of one call on one node. */
@@ -45,6 +46,8 @@
         /** True while the call holds a slot of the upstream. */
         public val holdsSlot: Boolean = false,
         public val upstream: UpstreamRecord? = null,
+        /** Set if the call is the trial of a quarantined request. */
+        public val trial: TrialId? = null,
     ) : CallState
 }
 
@@ -97,6 +100,8 @@
     public val maxAttempts: Int,
     /** True if running the call more than once does no harm. */
     public val idempotent: Boolean,
+    /** The only instance that may get this call, as the trial of a quarantined request, or `null` for no such limit. */
+    public val trialInstance: InstanceId? = null,
 )
 
 /** Request of a call as received by the last hop. */
--- a/core/src/main/kotlin/boragelever/core/call/FirstHopReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/call/FirstHopReducer.kt
@@ -30,8 +30,7 @@
     }
     return when (val outcome = event.outcome) {
         ClaimOutcome.Acquired -> {
-            val select = CallEffect.SelectEndpoint(plan.service, state.excludedInstances, spendsBudget = false)
-            state.copy(phase = CallPhase.Selecting, claim = row).with(select)
+            state.copy(phase = CallPhase.Selecting, claim = row).with(state.selectFirstEndpoint(plan))
         }
         is ClaimOutcome.Recorded ->
             state.copy(phase = CallPhase.Ended).with(CallEffect.ReplayResponse(outcome.response))
--- a/core/src/main/kotlin/boragelever/core/call/LastHopReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/call/LastHopReducer.kt
@@ -4,7 +4,9 @@
 import boragelever.core.config.QueueConfig
 import boragelever.core.control.UpstreamRecord
 import boragelever.core.control.UpstreamState
+import boragelever.core.routing.QuarantineDecision
 import boragelever.core.routing.RoutingSnapshot
+import boragelever.core.routing.quarantineDecision
 import kotlin.math.min
 
 /** Deadline of a call whose sender set none, so that a hanging upstream cannot occupy a slot indefinitely. */
@@ -26,7 +28,7 @@
     when (event) {
         is CallEvent.Arrived -> admitLastHop(state, event)
         is CallEvent.SlotGranted -> dispatch(state, event)
-        is CallEvent.SlotDenied -> state.end(CallEffect.Refuse(notRunRefusal(UNAVAILABLE, RefusalReason.SHED)))
+        is CallEvent.SlotDenied -> state.end(CallEffect.Refuse(notRunRefusal(UNAVAILABLE, event.reason)))
         is CallEvent.ResponseStarted ->
             if (event.response.outcome == Outcome.NOT_RUN) {
                 state.end(CallEffect.Refuse(notRunRefusal(UNAVAILABLE, RefusalReason.UPSTREAM_SHED)))
@@ -60,13 +62,15 @@
         return state.end(CallEffect.Refuse(notRunRefusal(statusCode, reason ?: RefusalReason.UNKNOWN_INSTANCE)))
     }
     val deadlineMillis = nowMillis + remainingMillis
-    return state.copy(phase = CallPhase.Selecting, deadlineMillis = deadlineMillis, upstream = upstream)
+    val trial = (quarantineDecision(state.request, snapshot, upstream, nowMillis) as? QuarantineDecision.Try)?.id
+    return state.copy(phase = CallPhase.Selecting, deadlineMillis = deadlineMillis, upstream = upstream, trial = trial)
         .with(
             CallEffect.SetDeadline(deadlineMillis),
             CallEffect.AcquireSlot(
                 upstream.copy(slots = effectiveSlots(snapshot, upstream)),
                 queueConfigOf(snapshot, upstream.service),
                 state.request.priority,
+                trial,
             ),
         )
 }
@@ -81,17 +85,32 @@
     upstream: UpstreamRecord?,
     nowMillis: Long,
 ): RefusalReason? {
-    val fingerprint = request.fingerprint
     return when {
         snapshot == null -> RefusalReason.NO_CONFIGURATION
         snapshot.draining -> RefusalReason.NODE_STOPPING
         upstream == null -> RefusalReason.UNKNOWN_INSTANCE
         upstream.state != UpstreamState.SERVING -> RefusalReason.NOT_SERVING
-        fingerprint != null && snapshot.isQuarantined(fingerprint, nowMillis) -> RefusalReason.QUARANTINED
+        !mayRun(quarantineDecision(request, snapshot, upstream, nowMillis), upstream) -> RefusalReason.QUARANTINED
         else -> null
     }
 }
 
+private fun quarantineDecision(
+    request: LastHopRequest,
+    snapshot: RoutingSnapshot,
+    upstream: UpstreamRecord,
+    nowMillis: Long,
+): QuarantineDecision =
+    request.fingerprint?.let { snapshot.quarantineDecision(it, upstream.service, nowMillis) }
+        ?: QuarantineDecision.Admit
+
+private fun mayRun(decision: QuarantineDecision, upstream: UpstreamRecord): Boolean =
+    when (decision) {
+        QuarantineDecision.Admit -> true
+        QuarantineDecision.Refuse -> false
+        is QuarantineDecision.Try -> decision.instance == upstream.instance
+    }
+
 private fun queueConfigOf(snapshot: RoutingSnapshot, service: ServiceName): QueueConfig =
     snapshot.services[service]?.config?.queue ?: QueueConfig()
 
@@ -102,7 +121,7 @@
     if (remainingMillis <= 0) return held.end(CallEffect.Refuse(notRunRefusal(GATEWAY_TIMEOUT, RefusalReason.DEADLINE)))
     val start = CallEffect.StartAttempt(
         attempt = ATTEMPT,
-        target = AttemptTarget.LocalUpstream(upstream, state.request.fingerprint),
+        target = AttemptTarget.LocalUpstream(upstream, state.request.fingerprint, isTrial = state.trial != null),
         attemptsLeft = state.request.attemptsLeft,
         headTimeoutMillis = remainingMillis,
         remainingMillis = remainingMillis,
--- a/core/src/main/kotlin/boragelever/core/config/Configuration.kt
+++ b/core/src/main/kotlin/boragelever/core/config/Configuration.kt
@@ -138,7 +138,7 @@
 /** Quarantine: requests that repeatedly crash upstreams are refused. */
 public data class QuarantineConfig(
     public val deaths: Int = 2,
-    public val durationMillis: Long = 600_000,
+    public val durationMillis: Long = 86_400_000,
     /** Fingerprints that operators exempt from the quarantine. */
     public val lifted: Set<Fingerprint> = emptySet(),
 )
--- a/core/src/main/kotlin/boragelever/core/config/ConfigurationSchema.kt
+++ b/core/src/main/kotlin/boragelever/core/config/ConfigurationSchema.kt
@@ -301,10 +301,14 @@
             "deaths",
             default.deaths,
             1..100,
-            "Number of upstream crashes while running a request after which the request is refused.",
+            "Upstream crashes while running a request, without a completion of it, after which it is refused.",
+        )
+        val duration = millis(
+            "duration_ms",
+            default.durationMillis,
+            DURATION_RANGE,
+            "Time for which the request is refused unless it completes on an instance, and for which crashes count.",
         )
-        val duration =
-            millis("duration_ms", default.durationMillis, DURATION_RANGE, "Time for which the request is refused.")
         val lifted =
             textSet(
                 "lifted",
--- a/core/src/main/kotlin/boragelever/core/control/DiscoveryReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/DiscoveryReducer.kt
@@ -23,7 +23,7 @@
     val isUnchanged = next === discovery && event !is Event.StopRequested
     val applied = if (isUnchanged) state.withoutEffects() else state.applyDiscovery(next, change, nowMillis)
     return applied
-        .andThen { it.persistWithdrawals(event.context) }
+        .andThen { it.persistDurableState(event.context) }
         .andThen { it.acknowledgeLeaving(nowMillis) }
 }
 
@@ -46,7 +46,7 @@
 private fun ControlState.acknowledgeLeaving(nowMillis: Long): Transition {
     if (discovery.unacknowledged.isEmpty()) return withoutEffects()
     val unpersisted = membership.localRecord?.withdrawals.orEmpty()
-        .filter { it !in membership.rows.persisted }
+        .filter { it !in membership.rows.persisted.withdrawals }
         .map { it.instance }
     val acknowledged = discovery.unacknowledged
         .filter { (instance, dueMillis) -> instance !in unpersisted || nowMillis >= dueMillis }
--- a/core/src/main/kotlin/boragelever/core/control/Effect.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Effect.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.ConfigVersion
 import boragelever.core.FileName
+import boragelever.core.Fingerprint
 import boragelever.core.InstanceId
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
@@ -48,6 +49,13 @@
     /** Acknowledges to [instance] that it is leaving; each such announcement is acknowledged once. */
     public data class AcknowledgeLeave(public val instance: InstanceId) : Effect
 
+    /**
+     * Replaces the requests whose completion at a local upstream is sent as [Event.RequestCompleted].
+     *
+     * A request that has completed recently is sent at once.
+     */
+    public data class WatchCompletions(public val fingerprints: Set<Fingerprint>) : Effect
+
     /** Logs [notice] and counts it in the metrics. */
     public data class Report(public val notice: Notice) : Effect
 
--- a/core/src/main/kotlin/boragelever/core/control/Event.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Event.kt
@@ -84,7 +84,14 @@
     public data class UpstreamCrashed(
         override val context: EventContext,
         public val instance: InstanceId,
-        public val inFlight: List<Fingerprint>,
+        public val inFlight: List<InterruptedRequest>,
+    ) : Event
+
+    /** The local upstream [instance] completed a request of [Effect.WatchCompletions]. */
+    public data class RequestCompleted(
+        override val context: EventContext,
+        public val instance: InstanceId,
+        public val fingerprint: Fingerprint,
     ) : Event
 
     /** The reloadable settings of the node were read again. */
@@ -100,6 +107,15 @@
     public data class CallsFinished(override val context: EventContext) : Event
 }
 
+/** A request that was running in an upstream when it crashed. */
+public data class InterruptedRequest(
+    public val fingerprint: Fingerprint,
+    /** True if a local upstream has completed the request recently, so that it did not cause the crash. */
+    public val hasCompleted: Boolean = false,
+    /** True if the request ran as a trial of its quarantine. */
+    public val isTrial: Boolean = false,
+)
+
 /** Order of the registrations of one instance: a later start is newer; within one start, a higher sequence is newer. */
 public data class RegistrationOrder(public val startedEpochMillis: Long, public val sequence: Long) :
     Comparable<RegistrationOrder> {
--- a/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
+++ b/core/src/main/kotlin/boragelever/core/control/FailureDetector.kt
@@ -168,7 +168,7 @@
 private fun ControlState.sendHeartbeat(peer: NodeId): Transition {
     val entry = membership.detector.monitored[peer] ?: return withoutEffects()
     val number = membership.detector.lastNumber + 1
-    val heartbeat = PeerMessage.Heartbeat(number, applied?.id, membership.table.digest)
+    val heartbeat = heartbeat(number)
     // A connection without replies may not recover, while a new one may work.
     val isUnanswered = entry.lastSentNumber != 0L && entry.lastAckedNumber < entry.lastSentNumber
     return updateDetector {
@@ -178,6 +178,9 @@
         .andThen { it.send(peer, heartbeat) }
 }
 
+private fun ControlState.heartbeat(number: Long): PeerMessage =
+    PeerMessage.Heartbeat(number, applied?.id, membership.table.digest, quarantine.digest)
+
 /** If this node is a relay, publishes in its record the regions from which it gets no reply. */
 private fun ControlState.publishReachability(nowMillis: Long): Transition {
     val localRecord = membership.localRecord ?: return withoutEffects()
@@ -217,7 +220,7 @@
     val next = pruned.updateDetector { copy(nextDeadContactAtMillis = nowMillis + waitMillis) }
     val chosen =
         recent.ifEmpty { dead }.keys.randomOrNull(context.random("dead-choice")) ?: return next.withoutEffects()
-    return next.send(chosen, PeerMessage.Heartbeat(0, applied?.id, membership.table.digest))
+    return next.send(chosen, heartbeat(0))
 }
 
 private fun ControlState.recentContactIntervalMillis(): Long {
--- a/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MemberRows.kt
@@ -1,7 +1,6 @@
 package boragelever.core.control
 
 import boragelever.core.EventContext
-import boragelever.core.Withdrawal
 import boragelever.core.store.Row
 import boragelever.core.store.RowCondition
 import boragelever.core.store.RowKey
@@ -78,6 +77,7 @@
 private fun ControlState.writeMemberRow(context: EventContext): Transition {
     val localRecord = membership.localRecord ?: return withoutEffects()
     val epochMillis = context.nowMillis + identity.epochOffsetMillis
+    val durable = durableState()
     val value = RowValue.Member(
         localRecord.node,
         localRecord.incarnation,
@@ -85,27 +85,29 @@
         localRecord.zone,
         localRecord.peerAddress,
         epochMillis,
-        localRecord.withdrawals,
+        durable.withdrawals,
+        durable.deaths,
     )
     val write = RowWrite.Put(ownRowKey, value)
     val command = StoreCommand.Transact(nextWriteId(context), emptyList(), listOf(write))
     val call = callStore(RequestOwner.MEMBERSHIP, command)
     return call.send {
         updateMemberRows {
-            copy(writeRequest = call.request, writing = localRecord.withdrawals, nextWriteAtMillis = null)
+            copy(writeRequest = call.request, writing = durable, nextWriteAtMillis = null)
         }
     }
 }
 
-/** Writes this node's row at once if it lacks a withdrawal; after a failure the scheduled write does so. */
-internal fun ControlState.persistWithdrawals(context: EventContext): Transition {
+/** Writes this node's row at once if it lacks durable state; after a failure the scheduled write does so. */
+internal fun ControlState.persistDurableState(context: EventContext): Transition {
     val rows = membership.rows
     val isIdle = rows.writeRequest == null && rows.failures == 0 && discovery.isHistoryKnown
-    return if (isIdle && hasUnpersistedWithdrawals && admitsStoreCalls()) writeMemberRow(context) else withoutEffects()
+    if (!isIdle || durableState().isIn(rows.persisted) || !admitsStoreCalls()) return withoutEffects()
+    return writeMemberRow(context)
 }
 
-private val ControlState.hasUnpersistedWithdrawals: Boolean
-    get() = membership.localRecord?.withdrawals.orEmpty().any { it !in membership.rows.persisted }
+private fun ControlState.durableState(): DurableState =
+    DurableState(membership.localRecord?.withdrawals.orEmpty(), recordedDeaths())
 
 /** Handles the store's result of a scan or a write of member rows. */
 internal fun ControlState.handleMemberRowsResult(event: Event.StoreCommandCompleted): Transition =
@@ -149,14 +151,16 @@
     }
     return next
         .removeExpiredRows(context, expired)
-        .andThenIf(ownRow != null) { it.adoptPersistedWithdrawals(checkNotNull(ownRow).withdrawals, context.nowMillis) }
+        .andThenIf(ownRow != null) { it.adoptOwnRow(checkNotNull(ownRow), context.nowMillis) }
+        .andThen { state -> state.adoptDeaths(rows.mapNotNull { it.value as? RowValue.Member }, context.nowMillis) }
         .andThenIf(ownRow != null || isLastPage) { it.releaseHeldRegistrations(context.nowMillis) }
         .andThenIf(!isLastPage) { it.scanMemberRows(rows.last().key) }
 }
 
-private fun ControlState.adoptPersistedWithdrawals(withdrawals: List<Withdrawal>, nowMillis: Long): Transition {
-    val persisted = if (membership.rows.persisted.isEmpty()) withdrawals else membership.rows.persisted
-    return updateMemberRows { copy(persisted = persisted) }.adoptWithdrawals(withdrawals, nowMillis)
+private fun ControlState.adoptOwnRow(row: RowValue.Member, nowMillis: Long): Transition {
+    val isFirst = membership.rows.persisted == DurableState()
+    val persisted = if (isFirst) DurableState(row.withdrawals, row.deaths) else membership.rows.persisted
+    return updateMemberRows { copy(persisted = persisted) }.adoptWithdrawals(row.withdrawals, nowMillis)
 }
 
 private fun Row.isFresh(epochMillis: Long): Boolean {
@@ -189,7 +193,7 @@
     return updateMemberRows {
         copy(
             writeRequest = null,
-            writing = emptyList(),
+            writing = DurableState(),
             persisted = persisted,
             failures = failures,
             nextWriteAtMillis = context.nowMillis + waitMillis,
--- a/core/src/main/kotlin/boragelever/core/control/MembershipReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MembershipReducer.kt
@@ -48,6 +48,9 @@
 private fun ControlState.announcesLeaveAt(nowMillis: Long): Boolean =
     (lifecycle as? LifecycleState.Draining)?.leaveAnnouncedMillis == nowMillis
 
+private fun ControlState.heartbeatAck(number: Long): PeerMessage =
+    PeerMessage.HeartbeatAck(number, applied?.id, membership.table.digest, quarantine.digest)
+
 private fun ControlState.handlePeerMessage(event: Event.PeerMessageReceived): Transition {
     val nowMillis = event.context.nowMillis
     val from = event.from
@@ -55,7 +58,7 @@
     return when (val message = event.message) {
         is PeerMessage.Heartbeat ->
             recorded
-                .send(from, PeerMessage.HeartbeatAck(message.number, applied?.id, membership.table.digest))
+                .send(from, heartbeatAck(message.number))
                 .andThen { it.notifyOfStatus(from) }
                 .andThen { it.compareDigests(from, message.membersDigest, nowMillis) }
         is PeerMessage.HeartbeatAck ->
--- a/core/src/main/kotlin/boragelever/core/control/MembershipState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/MembershipState.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
+import boragelever.core.RecordedDeath
 import boragelever.core.RegionName
 import boragelever.core.Withdrawal
 import kotlinx.collections.immutable.PersistentMap
@@ -146,14 +147,25 @@
     public val scanRequest: RequestId? = null,
     /** Request of the write in flight, or `null`. */
     public val writeRequest: RequestId? = null,
-    /** Withdrawals that the write in flight contains. */
-    public val writing: List<Withdrawal> = emptyList(),
-    /** Withdrawals that the row in the store contains. */
-    public val persisted: List<Withdrawal> = emptyList(),
+    /** What the write in flight contains for the next process of this node. */
+    public val writing: DurableState = DurableState(),
+    /** What the row in the store contains for the next process of this node. */
+    public val persisted: DurableState = DurableState(),
     /** Number of failed scans and writes in a row; the wait after a failure grows with it. */
     public val failures: Int = 0,
 )
 
+/** The part of the control state that outlasts the processes of all nodes, in the rows of the members. */
+public data class DurableState(
+    public val withdrawals: List<Withdrawal> = emptyList(),
+    /** Deaths that this node reported and that quarantine a request. */
+    public val deaths: List<RecordedDeath> = emptyList(),
+) {
+    /** Returns whether [other] contains everything in this state. */
+    internal fun isIn(other: DurableState): Boolean =
+        withdrawals.all { it in other.withdrawals } && deaths.all { it in other.deaths }
+}
+
 /** True if every relay of the local region reports [region] as unreachable. */
 internal fun ControlState.isUnreachable(region: RegionName): Boolean {
     if (region == identity.region) return false
--- a/core/src/main/kotlin/boragelever/core/control/Notice.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Notice.kt
@@ -48,8 +48,28 @@
     /** The status of a member changed in the member table of this node. */
     public data class MemberChanged(public val node: NodeId, public val status: MemberStatus) : Notice
 
-    /** Requests with [fingerprint] are refused after [deaths] upstream crashes. */
-    public data class Quarantined(public val fingerprint: Fingerprint, public val deaths: Int) : Notice
+    /** Requests with [fingerprint] are refused after [deaths], since no completion of them is known. */
+    public data class Quarantined(
+        public val fingerprint: Fingerprint,
+        public val deaths: List<Death>,
+        /** False if the requests were refused before and the last death prolongs that. */
+        public val isNew: Boolean,
+    ) : Notice
+
+    /** The quarantine of [fingerprint] ended, since it was completed on [instance], beside [node], despite [deaths]. */
+    public data class QuarantineEnded(
+        public val fingerprint: Fingerprint,
+        public val deaths: List<Death>,
+        public val node: NodeId,
+        /** The upstream that completed the request, or `null` if the report does not name it. */
+        public val instance: InstanceId?,
+    ) : Notice
+
+    /** The requests [fingerprints] were running when [instance] crashed, but have completed recently. */
+    public data class CrashUnrelated(
+        public val instance: InstanceId,
+        public val fingerprints: List<Fingerprint>,
+    ) : Notice
 
     /** The process runs again after a pause of [pausedMillis]. */
     public data class ProcessResumed(public val pausedMillis: Long) : Notice
--- a/core/src/main/kotlin/boragelever/core/control/PeerMessage.kt
+++ b/core/src/main/kotlin/boragelever/core/control/PeerMessage.kt
@@ -3,6 +3,7 @@
 import boragelever.core.ConfigVersion
 import boragelever.core.Fingerprint
 import boragelever.core.Incarnation
+import boragelever.core.InstanceId
 import boragelever.core.NodeId
 import boragelever.core.config.ConfigDocument
 import boragelever.core.config.ConfigId
@@ -18,13 +19,17 @@
  */
 @Serializable
 public sealed interface PeerMessage {
-    /** Requests a [HeartbeatAck]; contains the sender's applied configuration and the digest of its member table. */
+    /**
+     * Requests a [HeartbeatAck]; contains the sender's applied configuration and the digests of its member table and of
+     * its quarantined requests.
+     */
     @Serializable
     @SerialName("hb")
     public data class Heartbeat(
         @SerialName("n") public val number: Long,
         @SerialName("c") public val config: ConfigId?,
         @SerialName("m") public val membersDigest: Long,
+        @SerialName("q") public val quarantineDigest: Long = 0,
     ) : PeerMessage
 
     /** Reply to a [Heartbeat] with the same [number]. */
@@ -34,6 +39,7 @@
         @SerialName("n") public val number: Long,
         @SerialName("c") public val config: ConfigId?,
         @SerialName("m") public val membersDigest: Long,
+        @SerialName("q") public val quarantineDigest: Long = 0,
     ) : PeerMessage
 
     /** Carries a configuration and the subtree to which the receiver forwards it. */
@@ -102,7 +108,7 @@
         @SerialName("n") public val nodes: List<NodeId>,
     ) : PeerMessage
 
-    /** Reports requests, by fingerprint, that crashed upstreams. */
+    /** Reports requests, by fingerprint, that crashed upstreams, and quarantined ones that were completed. */
     @Serializable
     @SerialName("quar")
     public data class QuarantineUpdate(
@@ -111,6 +117,7 @@
         @SerialName("s") public val scope: TreeScope,
         /** Part of the zone's ring that [TreeScope.ZONE] covers, or `null` for the whole zone. */
         @SerialName("r") public val range: RingRange? = null,
+        @SerialName("c") public val completions: List<FingerprintCompletion> = emptyList(),
     ) : PeerMessage
 }
 
@@ -183,6 +190,21 @@
     public val number: Long,
     /** Time between the crash and the sending of the message, in milliseconds. */
     public val ageMillis: Long,
+    /** The upstream that crashed, or `null` if the sender does not name it. */
+    public val instance: InstanceId? = null,
+    /** True if the request ran as a trial of its quarantine. */
+    public val isTrial: Boolean = false,
+)
+
+/** A completion of a quarantined request by an upstream beside [node]. */
+@Serializable
+public data class FingerprintCompletion(
+    public val fingerprint: Fingerprint,
+    public val node: NodeId,
+    /** The upstream that completed the request, or `null` if the sender only passes on that one did. */
+    public val instance: InstanceId?,
+    /** Time between the completion and the sending of the message, in milliseconds. */
+    public val ageMillis: Long,
 )
 
 /** Returns the version of this configuration, or [ConfigVersion.NONE] if there is none. */
--- a/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
@@ -10,6 +10,7 @@
 import boragelever.core.routing.Destination
 import boragelever.core.routing.Endpoint
 import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.Quarantine
 import boragelever.core.routing.RouteTable
 import boragelever.core.routing.RoutingSnapshot
 import kotlinx.collections.immutable.PersistentMap
@@ -25,7 +26,7 @@
 public class SnapshotInputs internal constructor(
     internal val applied: AppliedConfig,
     internal val table: MemberTable,
-    internal val quarantined: PersistentMap<Fingerprint, Long>,
+    internal val quarantined: PersistentMap<Fingerprint, Quarantine>,
     internal val upstreams: PersistentMap<InstanceId, LocalUpstream>,
     internal val lifecycle: LifecycleState,
     internal val reloadable: ReloadableSettings,
--- a/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
+++ b/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
@@ -30,8 +30,8 @@
     public val limits: LimitsConfig,
     /** Local upstreams of this node by instance, in any state. */
     public val localUpstreams: Map<InstanceId, UpstreamRecord> = emptyMap(),
-    /** Quarantined requests with the monotonic time in milliseconds at which the quarantine ends. */
-    public val quarantined: Map<Fingerprint, Long> = emptyMap(),
+    /** Quarantined requests. */
+    public val quarantined: Map<Fingerprint, Quarantine> = emptyMap(),
     /** True while the node is shutting down and accepts no new calls. */
     public val draining: Boolean = false,
     /** Retries to each service that this node may make in addition to the percentage of calls. */
--- a/core/src/main/kotlin/boragelever/core/store/RowValue.kt
+++ b/core/src/main/kotlin/boragelever/core/store/RowValue.kt
@@ -6,6 +6,7 @@
 import boragelever.core.Incarnation
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
+import boragelever.core.RecordedDeath
 import boragelever.core.RegionName
 import boragelever.core.Withdrawal
 import boragelever.core.ZoneName
@@ -64,6 +65,8 @@
         public val renewedAtEpochMillis: Long,
         /** Upstreams that announced to the node that they leave. */
         public val withdrawals: List<Withdrawal> = emptyList(),
+        /** Crashes of the node's upstreams that quarantine a request. */
+        public val deaths: List<RecordedDeath> = emptyList(),
     ) : RowValue
 
     /** Row `claim/<key>`: reserves the only execution of a non-idempotent call. */
--- a/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
@@ -157,6 +157,16 @@
             a call to an instance of another node is refused | HOP | arrived-moved | 503 not-run unknown-instance
             a call to a draining instance is refused | HOP | arrived-draining | 503 not-run not-serving
             a quarantined request does not reach the upstream | HOP | arrived-quarantined | 503 not-run quarantined
+            a trial of a quarantined request is sent to one instance, once |
+              GET | arrived-for-trial a reset | select only a, send a left 3, 502 unknown attempt-failed
+            a trial that another call already is, is refused |
+              GET | arrived-for-trial a quarantined | select only a, send a left 3, 503 not-run quarantined
+            a quarantined request is refused before its trial is due | GET | arrived-before-trial | 503 not-run quarantined
+            the last hop admits a trial |
+              HOP | arrived-for-trial slot | AcquireSlot for trial 1, send upstream left 1
+            the last hop admits one trial |
+              HOP | arrived-for-trial other-trial | AcquireSlot for trial 1, 503 not-run quarantined
+            the last hop refuses a trial that is not due | HOP | arrived-before-trial | 503 not-run quarantined
             a shed call is reported as not run | HOP | arrived no-slot | AcquireSlot, 503 not-run shed
             an expired call is not dispatched | HOP | arrived late-slot | AcquireSlot, ReleaseSlot, 504 not-run deadline
             a refused connection is reported as not run |
--- a/core/src/test/kotlin/boragelever/core/call/CallScript.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallScript.kt
@@ -24,6 +24,8 @@
 import boragelever.core.routing.Destination
 import boragelever.core.routing.Endpoint
 import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.Quarantine
+import boragelever.core.routing.QuarantineTrial
 import boragelever.core.routing.RoutingSnapshot
 import boragelever.core.store.RecordedResponse
 
@@ -70,6 +72,14 @@
             localUpstreams = mapOf(A.instance to UPSTREAM),
         )
 
+    /** A snapshot in which the requests [GET] and [HOP] are quarantined with a trial on [A] from [startMillis] on. */
+    fun trialSnapshot(startMillis: Long = 0): RoutingSnapshot {
+        val quarantine = Quarantine(endMillis = 500, QuarantineTrial(1, startMillis))
+        val services = mapOf(SERVICE to CompiledService(SERVICE, ServiceConfig(), listOf(A)))
+        val fingerprints = listOf(Fingerprint("f"), fingerprintOf(GET.request))
+        return SNAPSHOT.copy(services = services, quarantined = fingerprints.associateWith { quarantine })
+    }
+
     fun arrived(snapshot: RoutingSnapshot?, inFlight: Int = 1) = CallEvent.Arrived(NOW, snapshot, inFlight)
 
     /** Returns the arrival of a call at [nowMillis] on a node that started [uptimeMillis] ago. */
@@ -114,7 +124,11 @@
         "arrived-draining" to arrived(
             SNAPSHOT.copy(localUpstreams = mapOf(A.instance to UPSTREAM.copy(state = UpstreamState.DRAINING))),
         ),
-        "arrived-quarantined" to arrived(SNAPSHOT.copy(quarantined = mapOf(Fingerprint("f") to 1L))),
+        "arrived-quarantined" to
+            arrived(SNAPSHOT.copy(quarantined = mapOf(Fingerprint("f") to Quarantine(endMillis = 1)))),
+        "arrived-for-trial" to arrived(trialSnapshot()),
+        "arrived-before-trial" to arrived(trialSnapshot(startMillis = 1)),
+        "other-trial" to CallEvent.SlotDenied(NOW, RefusalReason.QUARANTINED),
         "a" to CallEvent.EndpointSelected(NOW, A),
         "b" to CallEvent.EndpointSelected(NOW, B),
         "none" to CallEvent.SelectionFailed(NOW, RefusalReason.NO_ENDPOINT),
@@ -158,7 +172,8 @@
     fun describe(effect: CallEffect): String =
         when (effect) {
             is CallEffect.SelectEndpoint ->
-                "select" + effect.excluded.joinToString("") { " -$it" } + if (effect.spendsBudget) " with token" else ""
+                "select" + effect.only?.let { " only $it" }.orEmpty() + effect.excluded.joinToString("") { " -$it" } +
+                    if (effect.spendsBudget) " with token" else ""
             is CallEffect.StartAttempt -> {
                 val target = (effect.target as? AttemptTarget.RemoteNode)?.endpoint?.instance ?: "upstream"
                 "send $target left ${effect.attemptsLeft}" + effect.resume?.let { " from ${it.fromByte}" }.orEmpty()
@@ -169,6 +184,7 @@
             is CallEffect.Refuse -> effect.refusal.let { "${it.statusCode} ${it.outcome.text} ${it.reason.text}" }
             is CallEffect.ReportUpstreamCrash -> "crashed ${effect.instance}"
             is CallEffect.ReplayResponse -> "replay ${effect.response.statusCode}"
+            is CallEffect.AcquireSlot -> "AcquireSlot" + effect.trial?.let { " for trial ${it.number}" }.orEmpty()
             else -> checkNotNull(effect::class.simpleName)
         }
 }
--- a/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
+++ b/core/src/test/kotlin/boragelever/core/control/FakeMesh.kt
@@ -5,6 +5,7 @@
 import boragelever.core.Epoch
 import boragelever.core.EventContext
 import boragelever.core.FakeStore
+import boragelever.core.Fingerprint
 import boragelever.core.Incarnation
 import boragelever.core.NetworkAddress
 import boragelever.core.NodeId
@@ -67,7 +68,10 @@
 
     private class Pending(val atMillis: Long, val order: Long, val action: () -> Unit)
 
-    private fun schedule(delayMillis: Long, action: () -> Unit) {
+    /** Handles [Effect.WatchCompletions] of a node. */
+    var onWatch: (FakeNode, Set<Fingerprint>) -> Unit = { _, _ -> }
+
+    fun schedule(delayMillis: Long, action: () -> Unit) {
         queue.add(Pending(nowMillis + delayMillis, order++, action))
     }
 
@@ -184,6 +188,7 @@
                 if (missingServices.isNotEmpty()) node.violations += "the snapshot lacks the services $missingServices"
                 node.snapshots += nowMillis to effect.snapshot
             }
+            is Effect.WatchCompletions -> onWatch(node, effect.fingerprints)
             is Effect.Exit -> kill(node)
             else -> Unit
         }
--- a/core/src/test/kotlin/boragelever/core/control/NodeConcernsTest.kt
+++ b/core/src/test/kotlin/boragelever/core/control/NodeConcernsTest.kt
@@ -48,7 +48,7 @@
             )
 
         fun ReducerDriver.crash(times: Int = 1): ReducerDriver =
-            step { Event.UpstreamCrashed(it, InstanceId("x"), List(times) { FINGERPRINT }) }
+            step { Event.UpstreamCrashed(it, InstanceId("x"), List(times) { InterruptedRequest(FINGERPRINT) }) }
 
         fun ReducerDriver.receiveDeath(number: Long, ageMillis: Long = 0, messageNumber: Long = number): ReducerDriver {
             val death = FingerprintDeath(FINGERPRINT, peers.first(), number, ageMillis)
--- a/examples/embedding/src/main/kotlin/boragelever/examples/EmbeddedMesh.kt
+++ b/examples/embedding/src/main/kotlin/boragelever/examples/EmbeddedMesh.kt
@@ -127,7 +127,9 @@
             }
             is Effect.SendToPeer -> send(node, effect)
             is Effect.ContactAddress -> contact(node, effect)
-            is Effect.ClosePeer, is Effect.InstallSnapshot, is Effect.AcknowledgeLeave, is Effect.Exit -> Unit
+            is Effect.ClosePeer, is Effect.InstallSnapshot, is Effect.AcknowledgeLeave, is Effect.WatchCompletions,
+            is Effect.Exit,
+            -> Unit
             is Effect.Report -> reportedNotices += Observation(nowMillis, node, effect.notice)
         }
     }
--- a/node/src/main/kotlin/boragelever/node/EffectRunner.kt
+++ b/node/src/main/kotlin/boragelever/node/EffectRunner.kt
@@ -1,5 +1,6 @@
 package boragelever.node
 
+import boragelever.core.Fingerprint
 import boragelever.core.config.ConfigError
 import boragelever.core.config.render
 import boragelever.core.control.CompileOutcome
@@ -26,6 +27,7 @@
     val transport: PeerTransport,
     val snapshots: AtomicReference<RoutingSnapshot?>,
     val leaveAcknowledgements: LeaveAcknowledgements,
+    val watchCompletions: (Set<Fingerprint>) -> Unit,
     val noticeCounters: NoticeCounters,
     val exit: () -> Unit,
 )
@@ -64,6 +66,7 @@
             is Effect.ContactAddress -> targets.transport.contact(effect.address)
             is Effect.ClosePeer -> targets.transport.disconnect(effect.peer)
             is Effect.AcknowledgeLeave -> targets.leaveAcknowledgements.acknowledge(effect.instance)
+            is Effect.WatchCompletions -> targets.watchCompletions(effect.fingerprints)
             is Effect.Report -> {
                 targets.noticeCounters.record(effect.notice)
                 log.write(logLine(effect.notice))
--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -15,6 +15,7 @@
 import boragelever.node.admin.ConfigStats
 import boragelever.node.admin.MetricSources
 import boragelever.node.admin.NodeStatus
+import boragelever.node.admin.QuarantineStats
 import boragelever.node.admin.registerNodeMetrics
 import boragelever.node.admin.renderMetrics
 import boragelever.node.peer.PeerListener
@@ -234,6 +235,7 @@
                 transport,
                 snapshots,
                 leaveAcknowledgements,
+                proxy::watchCompletions,
                 noticeCounters,
                 ::exit,
             )
@@ -244,6 +246,8 @@
         when (observation) {
             is ProxyObservation.UpstreamCrashed ->
                 control.submitFrom(scope) { Event.UpstreamCrashed(it, observation.instance, observation.running) }
+            is ProxyObservation.RequestCompleted ->
+                control.submitFrom(scope) { Event.RequestCompleted(it, observation.instance, observation.fingerprint) }
         }
     }
 
@@ -255,6 +259,15 @@
             store = { store.stats },
             members = { state.membersByStatus() },
             callsInFlight = { proxy.callsInFlight },
+            quarantine = ::quarantineStats,
+        )
+
+    private fun quarantineStats(): QuarantineStats =
+        QuarantineStats(
+            active = state.quarantine.quarantined.size,
+            imposed = noticeCounters.quarantined.sum(),
+            refuted = noticeCounters.quarantinesEnded.sum(),
+            unrelatedCrashes = noticeCounters.crashesUnrelated.sum(),
         )
 
     private fun configStats(): ConfigStats =
--- a/node/src/main/kotlin/boragelever/node/NoticeCounters.kt
+++ b/node/src/main/kotlin/boragelever/node/NoticeCounters.kt
@@ -15,6 +15,15 @@
     val rejectedFolders = LongAdder()
     val published = LongAdder()
 
+    /** Requests that this node has started to refuse because of crashes. */
+    val quarantined = LongAdder()
+
+    /** Quarantines that a completion of the request has ended. */
+    val quarantinesEnded = LongAdder()
+
+    /** Requests that were running at a crash of a local upstream but had completed before. */
+    val crashesUnrelated = LongAdder()
+
     /** Last configuration that this node published, or `null` if it has published none. */
     val lastPublished = AtomicReference<ConfigTimestamp?>(null)
 
@@ -33,9 +42,12 @@
                 lastPublished.set(ConfigTimestamp(notice.id, clock.nowMillis()))
             }
             is Notice.FolderRejected -> rejectedFolders.increment()
+            is Notice.Quarantined -> if (notice.isNew) quarantined.increment()
+            is Notice.QuarantineEnded -> quarantinesEnded.increment()
+            is Notice.CrashUnrelated -> crashesUnrelated.add(notice.fingerprints.size.toLong())
             is Notice.FolderUnreadable, is Notice.PublishSuperseded, is Notice.LeaseAcquired, is Notice.LeaseLost,
             is Notice.LeaseReleased, is Notice.StoreUnreachable,
-            is Notice.StoreReachable, is Notice.StoreRefused, is Notice.MemberChanged, is Notice.Quarantined,
+            is Notice.StoreReachable, is Notice.StoreRefused, is Notice.MemberChanged,
             is Notice.ProcessResumed, is Notice.Draining,
             is Notice.SettingsChanged, is Notice.UpstreamChanged,
             -> Unit
--- a/node/src/main/kotlin/boragelever/node/NoticeLog.kt
+++ b/node/src/main/kotlin/boragelever/node/NoticeLog.kt
@@ -1,6 +1,7 @@
 package boragelever.node
 
 import boragelever.core.config.ConfigId
+import boragelever.core.control.Death
 import boragelever.core.control.MemberStatus
 import boragelever.core.control.Notice
 import io.github.oshai.kotlinlogging.KLogger
@@ -49,7 +50,19 @@
         is Notice.MemberChanged -> memberLogLine(notice)
         is Notice.Quarantined ->
             LogLine.Warning(
-                "[proxy] fingerprint ${notice.fingerprint} is quarantined after ${notice.deaths} upstream crashes",
+                "[proxy] fingerprint ${notice.fingerprint} is quarantined after ${notice.deaths.evidence()}, " +
+                    "no completion known",
+            )
+        is Notice.QuarantineEnded ->
+            LogLine.Warning(
+                "[proxy] fingerprint ${notice.fingerprint} is no longer quarantined: " +
+                    "completed on ${notice.instance ?: "an instance"} beside ${notice.node}, " +
+                    "despite ${notice.deaths.evidence()}",
+            )
+        is Notice.CrashUnrelated ->
+            LogLine.Info(
+                "[proxy] ${notice.fingerprints.size} requests that were running when ${notice.instance} crashed have " +
+                    "also completed and are not quarantined, such as ${notice.fingerprints.first()}",
             )
         is Notice.ProcessResumed -> LogLine.Warning("[node] process was paused for ${notice.pausedMillis} ms")
         is Notice.Draining -> LogLine.Info("[node] stopping: not ready from now on, new calls are refused shortly")
@@ -58,6 +71,14 @@
             LogLine.Info("[upstream] ${notice.instance} is ${notice.change.name.lowercase()}")
     }
 
+private fun List<Death>.evidence(): String {
+    val trials = count { it.isTrial }
+    val instances = mapNotNull { it.instance?.value }.distinct().sorted()
+    val times = map { it.atMillis }
+    val spanMillis = times.maxOrNull()?.minus(times.min()) ?: 0
+    return "$size upstream crashes in $spanMillis ms (trials $trials, instances ${instances.joinToString(" ")})"
+}
+
 private fun memberLogLine(notice: Notice.MemberChanged): LogLine {
     val text = "[peer] ${notice.node} is ${notice.status.lowercaseName()}"
     return when (notice.status) {
--- a/node/src/main/kotlin/boragelever/node/StatusBuilder.kt
+++ b/node/src/main/kotlin/boragelever/node/StatusBuilder.kt
@@ -54,8 +54,13 @@
             members = state.membersStatus(),
             upstreams = state.upstreamStatus(),
             quarantine =
-                state.quarantine.quarantined.map { (fingerprint, endMillis) ->
-                    QuarantineStatus(fingerprint.value, maxOf(0, endMillis - nowMillis))
+                state.quarantine.quarantined.map { (fingerprint, quarantine) ->
+                    QuarantineStatus(
+                        fingerprint.value,
+                        maxOf(0, quarantine.endMillis - nowMillis),
+                        state.quarantine.deaths[fingerprint]?.size ?: 0,
+                        quarantine.trial?.let { maxOf(0, it.startMillis - nowMillis) },
+                    )
                 },
             addresses = addresses.status(),
         )
--- a/node/src/main/kotlin/boragelever/node/admin/NodeMetrics.kt
+++ b/node/src/main/kotlin/boragelever/node/admin/NodeMetrics.kt
@@ -29,6 +29,18 @@
     public val rejectedFolders: Long,
 )
 
+/** Quarantine statistics of a node. */
+public data class QuarantineStats(
+    /** Requests, by fingerprint, that are refused now. */
+    public val active: Int,
+    /** Requests that this node has started to refuse because of crashes. */
+    public val imposed: Long,
+    /** Quarantines that ended because the request completed on an instance. */
+    public val refuted: Long,
+    /** Requests that were running at a crash of a local upstream, but had completed before. */
+    public val unrelatedCrashes: Long,
+)
+
 /** Suppliers of the values of the node metrics; called at each scrape. */
 public class MetricSources(
     /** Applied and published configurations. */
@@ -43,6 +55,8 @@
     public val members: () -> Map<String, Int>,
     /** Calls that the proxy is handling. */
     public val callsInFlight: () -> Int,
+    /** Quarantined requests. */
+    public val quarantine: () -> QuarantineStats,
 )
 
 /** Registers the metrics of the node in [registry], except those of the proxy. */
@@ -52,6 +66,7 @@
     metrics.registerControl(sources)
     metrics.registerTransport(sources)
     metrics.registerStore(sources)
+    metrics.registerQuarantine(sources)
     metrics.labelledGauge("boragelever_members", "Known members by status", "status") { sources.members() }
     metrics.gauge("boragelever_calls_in_flight", "Calls in flight") { sources.callsInFlight().toDouble() }
 }
@@ -83,6 +98,21 @@
     }
 }
 
+private fun MetricRegistration.registerQuarantine(sources: MetricSources) {
+    gauge("boragelever_quarantined_requests", "Requests, by fingerprint, that are refused") {
+        sources.quarantine().active.toDouble()
+    }
+    counter("boragelever_quarantines_imposed", "Requests that this node started to refuse because of crashes") {
+        sources.quarantine().imposed.toDouble()
+    }
+    counter("boragelever_quarantines_refuted", "Quarantines that ended because the request completed") {
+        sources.quarantine().refuted.toDouble()
+    }
+    counter("boragelever_crashes_unrelated", "Requests that ran at a crash of a local upstream but had completed") {
+        sources.quarantine().unrelatedCrashes.toDouble()
+    }
+}
+
 private fun MetricRegistration.registerControl(sources: MetricSources) {
     counter("boragelever_control_events", "Events reduced") { sources.control().events.toDouble() }
     counter("boragelever_control_reduce_seconds", "Time spent in the reducer") {
--- a/node/src/main/kotlin/boragelever/node/admin/NodeStatus.kt
+++ b/node/src/main/kotlin/boragelever/node/admin/NodeStatus.kt
@@ -99,7 +99,14 @@
 
 /** A quarantined fingerprint, whose requests are refused for [remainingMs] more milliseconds. */
 @Serializable
-public data class QuarantineStatus(public val fingerprint: String, public val remainingMs: Long)
+public data class QuarantineStatus(
+    public val fingerprint: String,
+    public val remainingMs: Long,
+    /** Upstream crashes at which the request was running. */
+    public val crashes: Int,
+    /** Time until one call is admitted as a trial, or `null` if no further trial is allowed. */
+    public val trialInMs: Long? = null,
+)
 
 /** Addresses on which the node listens. */
 @Serializable
--- a/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
@@ -23,6 +23,9 @@
 private const val MAX_REFUSAL_BODY_BYTES = 4_096L
 private const val SERVER_ERROR = 500
 
+/** Time within which the calls that a crash interrupts report it. */
+private const val CRASH_DETECTION_MILLIS = 1_000L
+
 /** Failure kinds that show that the node accepts no calls at all. */
 private val UNREACHABLE = setOf(FailureKind.REFUSED, FailureKind.CONNECT_TIMEOUT, FailureKind.SILENT)
 
@@ -165,7 +168,8 @@
     /** From its first byte on, the request may crash the upstream, so the call is listed as running before that. */
     private fun registerRunning(attempt: Attempt) {
         val target = attempt.start.target as? AttemptTarget.LocalUpstream ?: return
-        attempt.runningHandle = target.fingerprint?.let { context.localUpstreams.callStarted(attempt.instance, it) }
+        attempt.runningHandle =
+            target.fingerprint?.let { context.localUpstreams.callStarted(attempt.instance, it, target.isTrial) }
     }
 
     private suspend fun onResponseHead(attempt: Attempt, exchange: Exchange) {
@@ -294,6 +298,7 @@
         val eventContext = context.clock.eventContext()
         if (failure == null) {
             serviceOf(attempt)?.let { context.responseSizes.record(it.name, sentBytes) }
+            recordCompletion(attempt, exchange)
             exchange.finish()
             finishAttempt(attempt, exchange.head.statusCode.toString(), Outcome.COMPLETED)
             post(CallEvent.BodyCompleted(eventContext, number))
@@ -305,6 +310,23 @@
         }
     }
 
+    /** Records that the upstream completed the request without crashing. A response of status 5xx shows too little. */
+    private fun recordCompletion(attempt: Attempt, exchange: Exchange) {
+        val fingerprint = (attempt.start.target as? AttemptTarget.LocalUpstream)?.fingerprint ?: return
+        if (exchange.head.statusCode >= SERVER_ERROR) return
+        val upstreams = context.localUpstreams
+        if (exchange.framing != BodyFraming.UntilClose) {
+            upstreams.completedRequests.record(attempt.instance, fingerprint)
+            return
+        }
+        // A crash also closes the connection, which ends such a body.
+        val endedMillis = context.clock.nowMillis()
+        context.loop.schedule(CRASH_DETECTION_MILLIS) {
+            val crashed = upstreams.hasCrashedSince(attempt.instance, endedMillis)
+            if (!crashed) upstreams.completedRequests.record(attempt.instance, fingerprint)
+        }
+    }
+
     /**
      * Writes to the caller and returns true if forwarding continues.
      *
--- a/node/src/main/kotlin/boragelever/node/proxy/CallRunner.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/CallRunner.kt
@@ -1,6 +1,7 @@
 package boragelever.node.proxy
 
 import boragelever.core.Digest
+import boragelever.core.EventContext
 import boragelever.core.call.AttemptTarget
 import boragelever.core.call.CallEffect
 import boragelever.core.call.CallEvent
@@ -12,6 +13,8 @@
 import boragelever.core.call.RefusalReason
 import boragelever.core.call.phase
 import boragelever.core.call.reduceCall
+import boragelever.core.routing.CompiledService
+import boragelever.core.routing.Endpoint
 import boragelever.core.routing.LocalityTier
 import boragelever.core.routing.selectEndpoint
 import boragelever.core.store.RecordedResponse
@@ -201,15 +204,7 @@
     private fun select(effect: CallEffect.SelectEndpoint) {
         val eventContext = context.clock.eventContext()
         val service = context.snapshots.current()?.services?.get(effect.service)
-        val endpoint = service?.let {
-            selectEndpoint(
-                it,
-                context.endpoints.statsSource,
-                eventContext,
-                effect.excluded,
-                context.responseSizes.isLarge(effect.service),
-            )
-        }
+        val endpoint = service?.let { chooseEndpoint(it, effect, eventContext) }
         val event = when {
             endpoint == null -> CallEvent.SelectionFailed(eventContext, RefusalReason.NO_ENDPOINT)
             effect.spendsBudget && !context.retryBudgets.withdraw(effect.service) ->
@@ -219,12 +214,36 @@
         events.post(event)
     }
 
+    private fun chooseEndpoint(
+        service: CompiledService,
+        effect: CallEffect.SelectEndpoint,
+        eventContext: EventContext,
+    ): Endpoint? {
+        val only = effect.only
+        if (only != null) return service.endpoints.firstOrNull { it.instance == only }
+        return selectEndpoint(
+            service,
+            context.endpoints.statsSource,
+            eventContext,
+            effect.excluded,
+            context.responseSizes.isLarge(effect.service),
+        )
+    }
+
     private suspend fun acquireSlot(effect: CallEffect.AcquireSlot) {
+        val trial = effect.trial
+        val trials = context.localUpstreams.trials
+        if (trial != null && !trials.begin(trial)) {
+            events.post(CallEvent.SlotDenied(context.clock.eventContext(), RefusalReason.QUARANTINED))
+            return
+        }
         val limiter = context.localUpstreams.limiterFor(effect.upstream)
         val granted = limiter.acquire(effect.queue, effect.priority)
         if (granted) {
             slotLimiter = limiter
             slotAcquiredAtMillis = context.clock.nowMillis()
+        } else if (trial != null) {
+            trials.cancel(trial)
         }
         val eventContext = context.clock.eventContext()
         events.post(if (granted) CallEvent.SlotGranted(eventContext) else CallEvent.SlotDenied(eventContext))
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxyObserver.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyObserver.kt
@@ -2,6 +2,7 @@
 
 import boragelever.core.Fingerprint
 import boragelever.core.InstanceId
+import boragelever.core.control.InterruptedRequest
 import boragelever.core.routing.RoutingSnapshot
 
 /** Provides the snapshot in force to the traffic threads. */
@@ -15,7 +16,13 @@
     /** A local upstream refused or reset its connections while the requests [running] were in flight. */
     public data class UpstreamCrashed(
         public val instance: InstanceId,
-        public val running: List<Fingerprint>,
+        public val running: List<InterruptedRequest>,
+    ) : ProxyObservation
+
+    /** A local upstream completed a request that [ProxyServer.watchCompletions] lists. */
+    public data class RequestCompleted(
+        public val instance: InstanceId,
+        public val fingerprint: Fingerprint,
     ) : ProxyObservation
 }
 
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
@@ -1,5 +1,6 @@
 package boragelever.node.proxy
 
+import boragelever.core.Fingerprint
 import boragelever.core.config.LimitsConfig
 import boragelever.node.net.EventLoopListener
 import boragelever.node.net.EventLoopSocket
@@ -37,6 +38,9 @@
     /** Sends `Connection: close` with each response from now on. The snapshot decides whether calls are refused. */
     public fun beginDrain()
 
+    /** Replaces the requests whose completion by a local upstream is observed; recent completions are observed at once. */
+    public fun watchCompletions(fingerprints: Set<Fingerprint>)
+
     /** Closes all connections, with or without calls in flight, and the ports. */
     public suspend fun close()
 }
@@ -106,6 +110,9 @@
         shared.draining = true
     }
 
+    override fun watchCompletions(fingerprints: Set<Fingerprint>): Unit =
+        shared.localUpstreams.completedRequests.watch(fingerprints)
+
     override suspend fun close() {
         job.cancelAndJoin()
         listeners.forEach { it.close() }
--- a/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
@@ -21,6 +21,7 @@
 import boragelever.core.routing.Destination
 import boragelever.core.routing.Endpoint
 import boragelever.core.routing.LocalityTier
+import boragelever.core.routing.Quarantine
 import boragelever.core.routing.RoutingSnapshot
 import boragelever.core.store.EntityTag
 import boragelever.core.store.ImmutableBytes
@@ -304,7 +305,7 @@
             services = mapOf(SERVICE to CompiledService(SERVICE, ServiceConfig(), endpoints)),
             limits = limits,
             localUpstreams = records.associateBy { it.instance },
-            quarantined = quarantined.associateWith { Long.MAX_VALUE },
+            quarantined = quarantined.associateWith { Quarantine(endMillis = Long.MAX_VALUE) },
         )
     }
 
--- a/node/src/test/kotlin/boragelever/node/proxy/ProxySessionTest.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/ProxySessionTest.kt
@@ -5,6 +5,7 @@
 import boragelever.core.call.fingerprintOf
 import boragelever.core.config.LimitsConfig
 import boragelever.core.config.RouteConfig
+import boragelever.core.control.InterruptedRequest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
@@ -119,7 +120,8 @@
             Session("a crash report lists the running request", listOf(UpstreamStep.Crash)) { mesh, _ ->
                 assertEquals("502 unknown", outcomeOf(rawCall(mesh.proxyPort, GET.replace("GET", "POST"))))
                 val crash = mesh.observations.single() as ProxyObservation.UpstreamCrashed
-                assertEquals(listOf(fingerprintOf(CallRequest("POST", "/x"))), crash.running)
+                val request = CallRequest("POST", "/x", host = "h")
+                assertEquals(listOf(InterruptedRequest(fingerprintOf(request))), crash.running)
             },
             Session("a connection serves pipelined calls in order") { mesh, upstream ->
                 val request = "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
