Bound interim responses, bodies of refusals and recorded responses

Cause: interim responses were read by recursion, so that many at hand overflowed the stack of the traffic thread. The body of a refusal was limited in bytes and not in time: sent byte by byte, it held the call until its deadline, and the caller got 504 unknown for a call that the instance said it had not run. The response to a keyed call was read on without a limit after its caller had left.

Change: a loop and at most 10,000 interim responses for a request; 100 ms for the body of a refusal; 10 s for a response that is only recorded, after which the claim stays, since the call may have run.

--- a/core/src/main/kotlin/boragelever/core/call/CallState.kt
+++ b/core/src/main/kotlin/boragelever/core/call/CallState.kt
@@ -34,6 +34,11 @@
         public val mayHaveRun: Boolean = false,
         /** Key of the claim row while this call holds the claim. */
         public val claim: RowKey? = null,
+        /**
+         * Monotonic time in milliseconds until which the response is read only to be recorded, because its caller no
+         * longer waits for it; `null` while it does.
+         */
+        public val recordUntilMillis: Long? = null,
         /** Refusal to send if no further attempt is made. */
         public val fallbackRefusal: Refusal? = null,
     ) : CallState
--- a/core/src/main/kotlin/boragelever/core/call/FirstHopReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/call/FirstHopReducer.kt
@@ -17,7 +17,7 @@
         is CallEvent.BodyFailed -> bodyFailed(state, event)
         is CallEvent.HedgeTimerFired -> hedgeTimerFired(state)
         is CallEvent.DeadlinePassed -> deadlinePassed(state, event.context.nowMillis)
-        is CallEvent.CallerDisconnected -> callerDisconnected(state)
+        is CallEvent.CallerDisconnected -> callerDisconnected(state, event.context.nowMillis)
         is CallEvent.SlotGranted, is CallEvent.SlotDenied -> state.noEffects()
     }
 
@@ -147,28 +147,47 @@
             cancelled.state.giveUp(Refusal(GATEWAY_TIMEOUT, outcome, RefusalReason.DEADLINE))
                 .prepend(*cancelled.effects.toTypedArray())
         }
-        is CallPhase.Streaming, is CallPhase.Resuming -> state.limitResponse(nowMillis)
+        is CallPhase.Streaming, is CallPhase.Resuming ->
+            if (state.recordUntilMillis == null) state.limitResponse(nowMillis) else state.limitRecording(nowMillis)
         CallPhase.New, CallPhase.AwaitingRouting, CallPhase.ClaimAbandoned, CallPhase.Ended -> state.noEffects()
     }
 
 /**
  * Cuts off a response in progress once the call has reached its total timeout.
  *
- * A call that holds a claim is completed, so that a client retry gets the recorded response.
+ * A call that holds a claim is completed, so that a client retry gets the recorded response, but for a bounded time.
  */
 private fun CallState.FirstHop.limitResponse(nowMillis: Long): CallTransition {
     val endMillis = plan?.endMillis ?: return noEffects()
     if (nowMillis < endMillis) return with(CallEffect.SetDeadline(endMillis))
-    if (claim != null) return with(CallEffect.AbortResponse)
+    if (claim != null) return recordOnly(nowMillis).prepend(CallEffect.AbortResponse)
     val cancelled = cancelRunning()
     return cancelled.state.abort().prepend(*cancelled.effects.toTypedArray())
 }
 
+/**
+ * Time for which a response is read on in order to be recorded after its caller has left; a response without end would
+ * hold its connection, its slot and its call for ever.
+ */
+private const val RECORDING_MILLIS = 10_000L
+
+private fun CallState.FirstHop.recordOnly(nowMillis: Long): CallTransition {
+    val untilMillis = nowMillis + RECORDING_MILLIS
+    return copy(recordUntilMillis = untilMillis).with(CallEffect.SetDeadline(untilMillis))
+}
+
+/** Gives up a response that is read only to be recorded; its claim stays, since the call may have run. */
+private fun CallState.FirstHop.limitRecording(nowMillis: Long): CallTransition {
+    if (nowMillis < (recordUntilMillis ?: Long.MAX_VALUE)) return noEffects()
+    val cancelled = cancelRunning()
+    return CallTransition(cancelled.state.copy(phase = CallPhase.Ended), cancelled.effects)
+}
+
 /**
  * Cancels the call unless it holds a claim and may be running. Such a call is completed, so that a client retry gets
- * the recorded response.
+ * the recorded response, but for a bounded time.
  */
-private fun callerDisconnected(state: CallState.FirstHop): CallTransition {
+private fun callerDisconnected(state: CallState.FirstHop, nowMillis: Long): CallTransition {
     val claim = state.claim
     return when {
         state.phase == CallPhase.Ended || state.phase == CallPhase.ClaimAbandoned -> state.noEffects()
@@ -177,7 +196,7 @@
             val cancelled = state.cancelRunning()
             CallTransition(cancelled.state.copy(phase = CallPhase.Ended), cancelled.effects)
         }
-        state.inFlight.isNotEmpty() || state.mayHaveRun -> state.noEffects()
+        state.inFlight.isNotEmpty() || state.mayHaveRun -> state.recordOnly(nowMillis)
         else -> state.copy(phase = CallPhase.Ended).with(CallEffect.ReleaseClaim(claim))
     }
 }
--- a/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
@@ -125,6 +125,15 @@
             the response to a disconnected caller is recorded |
               KEYED | arrived acquired a disconnected response ended |
               AcquireClaim, @SENT, BufferResponse, forward 1, RecordResponse
+            the response to a disconnected caller is read for a bounded time |
+              KEYED | arrived acquired a response disconnected much-later ended |
+              AcquireClaim, @SENT, BufferResponse, forward 1, cancel 1
+            the response to a disconnected caller is recorded until then |
+              KEYED | arrived acquired a response disconnected later ended |
+              AcquireClaim, @SENT, BufferResponse, forward 1, RecordResponse
+            a claimed response beyond the total timeout is read for a bounded time |
+              KEYED | arrived-limited acquired a response late later much-later-still ended |
+              AcquireClaim, @SENT, BufferResponse, forward 1, AbortResponse, cancel 1
             a stalled download is resumed | GET | arrived a response stalled b remainder | @RESUMED, remainder 2
             a download is not resumed with another version |
               GET | arrived a response stalled b remainder-other-tag | @RESUMED, cancel 2, AbortResponse
--- a/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/AttemptSet.kt
@@ -21,6 +21,9 @@
 
 /** Largest refusal body that is discarded to reuse the connection; the refusals of nodes are shorter. */
 private const val MAX_REFUSAL_BODY_BYTES = 4_096L
+
+/** Longest time that a call waits for the body of a refusal, which only serves to reuse the connection. */
+private const val MAX_DRAIN_MILLIS = 100L
 private const val SERVER_ERROR = 500
 
 /** Time within which the calls that a crash interrupts report it. */
@@ -174,7 +177,7 @@
 
     private suspend fun onResponseHead(attempt: Attempt, exchange: Exchange) {
         attempt.exchange = exchange
-        exchange.setIdleTimeout(attempt.start.idleTimeoutMillis)
+        exchange.setReadTimeout(attempt.start.idleTimeoutMillis)
         val isFromNode = attempt.start.target is AttemptTarget.RemoteNode
         val response = responseInfoOf(
             exchange.head,
@@ -250,6 +253,7 @@
             ?.let { context.snapshots.current()?.services?.get(it.endpoint.service) }
 
     private suspend fun drain(exchange: Exchange) {
+        exchange.setReadTimeout(idleMillis = 0, MAX_DRAIN_MILLIS)
         try {
             exchange.body.skip(MAX_REFUSAL_BODY_BYTES)
         } catch (failure: IOException) {
--- a/node/src/main/kotlin/boragelever/node/proxy/Exchange.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/Exchange.kt
@@ -57,9 +57,12 @@
 ) {
     val body = BodyReader(connection.input, framing)
 
-    /** Sets the longest time without a byte of the body; a longer wait throws [ConnectionTimeout]. */
-    fun setIdleTimeout(idleMillis: Long) {
-        connection.input.readTimeout = ReadTimeout(idleMillis)
+    /**
+     * Sets the longest time without a byte of the body, and for all of it from now on; a longer wait throws
+     * [ConnectionTimeout].
+     */
+    fun setReadTimeout(idleMillis: Long, totalMillis: Long? = null) {
+        connection.input.readTimeout = ReadTimeout(idleMillis, totalMillis)
     }
 
     /** True if bytes of the body can be read without waiting. */
--- a/node/src/main/kotlin/boragelever/node/proxy/HttpMessage.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/HttpMessage.kt
@@ -67,21 +67,36 @@
 
 private const val REQUEST_LINE_PARTS = 3
 
-/** Reads the head of a final response; calls [onInterim] for each interim (1xx) response before it. */
+/** Bound of the interim responses to one request; a node sends one every 450 ms while the call runs. */
+private const val MAX_INTERIM_RESPONSES = 10_000
+
+/**
+ * Reads the head of a final response; calls [onInterim] for each interim (1xx) response before it.
+ *
+ * A loop whose first read precedes it, as C1 requires; see [BodyReader.readUpTo].
+ */
 internal suspend fun readResponseHead(input: SocketInput, maxBytes: Int, onInterim: () -> Unit): ResponseHead {
-    val head = parseResponseHead(input.readHead(maxBytes))
-    if (head.statusCode == 101) throw MalformedMessage(BAD_GATEWAY, "protocol upgrades (101) are not supported")
-    if (head.statusCode >= 200) return head
-    onInterim()
-    return readResponseHead(input, maxBytes, onInterim)
+    var head = parseResponseHead(input.readHead(maxBytes))
+    var interimCount = 0
+    while (head.statusCode < FINAL_STATUS) {
+        interimCount += 1
+        if (interimCount > MAX_INTERIM_RESPONSES) throw MalformedMessage(BAD_GATEWAY, "too many interim responses")
+        onInterim()
+        head = parseResponseHead(input.readHead(maxBytes))
+    }
+    return head
 }
 
+private const val FINAL_STATUS = 200
+private const val SWITCHING_PROTOCOLS = 101
+
 private fun parseResponseHead(bytes: ByteArray): ResponseHead {
     val parser = HeadParser(bytes, BAD_GATEWAY)
     val parts = parser.firstLine().split(' ', limit = STATUS_LINE_PARTS)
     val statusCode = parts.getOrNull(1)?.takeIf { it.length == STATUS_DIGITS }?.toIntOrNull()
     val isHttp = parts[0] == "HTTP/1.1" || parts[0] == "HTTP/1.0"
     if (!isHttp || statusCode == null) throw MalformedMessage(BAD_GATEWAY, "the status line is malformed")
+    if (statusCode == SWITCHING_PROTOCOLS) throw MalformedMessage(BAD_GATEWAY, "protocol upgrades are not supported")
     return ResponseHead(statusCode, parts.getOrNull(2).orEmpty(), parser.headers())
 }
 
--- a/node/src/test/kotlin/boragelever/node/proxy/EndlessBytesTest.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/EndlessBytesTest.kt
@@ -170,6 +170,11 @@
                 endless("HTTP/1.1 503 Full\r\nx-not-run: full\r\n$CHUNKED\r\n", "2000\r\n$FILLER\r\n"),
                 "503 not-run",
             ),
+            Case(
+                "a refusal of the upstream with a body of single bytes",
+                endless("HTTP/1.1 503 Full\r\nx-not-run: full\r\nContent-Length: 9999\r\n\r\n", "x", pauseMillis = 10),
+                "503 not-run",
+            ),
             Case("a head of single bytes", endless(HEAD + "x-a: ", "x", pauseMillis = 10), "504 unknown"),
             Case(
                 "interim responses at a slow pace",
