Check the timeout and give way to other sockets although bytes are at hand

Cause: a read that finds bytes at hand doesn't wait, and SocketInput looked at its timeout and gave way to other sockets only while waiting. A sender that is faster than the reader kept the traffic thread: a response to another request that is skipped, a sound download to a fast caller, and any other body or head.

Change: the timeout is checked before each read, and after 16 reads in a row the connection waits for its turn in the loop.

Result: EndlessBytesTest with a response to another request in tiny chunks, and three downloads without end to a fast caller.

--- a/node/src/main/kotlin/boragelever/node/net/SocketInput.kt
+++ b/node/src/main/kotlin/boragelever/node/net/SocketInput.kt
@@ -39,10 +39,23 @@
     }
 }
 
-/** Buffered input of a socket; reads at most [SocketEventLoop.BUFFER_BYTES] ahead of the consumer. */
+/**
+ * Number of reads in a row after which a connection with bytes at hand lets the other sockets and timers of its loop go
+ * first.
+ */
+private const val MAX_READS_PER_TURN = 16
+
+/**
+ * Buffered input of a socket; reads at most [SocketEventLoop.BUFFER_BYTES] ahead of the consumer.
+ *
+ * A sender that is faster than the consumer neither keeps the thread of the loop to itself nor postpones the timeout.
+ */
 internal class SocketInput(private val socket: EventLoopSocket) {
     private var buffer: ByteBuffer = EMPTY_BUFFER
 
+    /** Reads since the last wait. */
+    private var readsInTurn = 0
+
     /** Timeout of subsequent reads; a read that exceeds it throws [ConnectionTimeout]. */
     var readTimeout: ReadTimeout = ReadTimeout.NONE
 
@@ -55,13 +68,17 @@
     /** Waits until a byte can be consumed; returns false at the end of the stream. */
     suspend fun awaitByte(): Boolean {
         if (buffer.hasRemaining()) return true
+        if (readTimeout.isExpired) throw ConnectionTimeout()
+        readsInTurn += 1
         // Without a buffer the connection was idle, and a read before the wait would rarely return anything.
-        val count = if (buffer === EMPTY_BUFFER) 0 else fill()
+        val waits = buffer === EMPTY_BUFFER || readsInTurn > MAX_READS_PER_TURN
+        val count = if (waits) 0 else fill()
         return if (count != 0) count > 0 else awaitData()
     }
 
     private suspend fun awaitData(): Boolean {
         socket.awaitReadable(readTimeout.nextWaitMillis())
+        readsInTurn = 0
         val count = fill()
         return if (count != 0) count > 0 else awaitData()
     }
--- a/node/src/test/kotlin/boragelever/node/proxy/EndlessBytesTest.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/EndlessBytesTest.kt
@@ -20,6 +20,9 @@
 private const val TIMEOUT_MILLIS = 1_500L
 private const val TINY_CHUNKS = 200_000
 
+/** A chunk whose decoding takes longer than its transfer, so that the reader never waits for the sender. */
+private const val TINY_CHUNK = "1\r\nx\r\n"
+
 /** Largest request body that a node buffers. */
 private const val MAX_BUFFERED_BYTES = 65_536
 
@@ -91,6 +94,22 @@
         }
     }
 
+    /** Guards against a download that keeps the traffic thread to itself as long as its caller takes the bytes. */
+    @ParameterizedTest
+    @MethodSource("downloads")
+    internal fun `an endless download to a fast caller slows no other call`(case: Case) {
+        FakeUpstream(case.step).use { upstream ->
+            mesh(upstream).use { mesh ->
+                openCall(mesh.proxyPort, "POST /x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\n\r\n").use { download ->
+                    val reader = thread(isDaemon = true) { discardUntilClosed(download) }
+                    awaitUntil { upstream.requests.size == 1 }
+                    repeat(5) { assertEquals("200 completed", outcomeOf(rawCall(mesh.proxyPort, GET)), "call $it") }
+                    assertTrue(reader.isAlive, "the download continues")
+                }
+            }
+        }
+    }
+
     /** Guards against a stack that grows with each chunk of a request body that is at hand. */
     @Test
     fun `a long request in chunks of one byte reaches the upstream whole`() {
@@ -136,6 +155,22 @@
             response.substringAfter(' ').substringBefore(' ') + " " +
                 response.substringAfter("boragelever-outcome: ", "none").substringBefore("\r\n")
 
+        fun discardUntilClosed(socket: Socket) {
+            val buffer = ByteArray(65_536)
+            try {
+                while (socket.getInputStream().read(buffer) >= 0) Unit
+            } catch (_: SocketException) {
+                // The test closed the connection.
+            }
+        }
+
+        @JvmStatic
+        fun downloads(): List<Case> = listOf(
+            Case("chunks", endless("$HEAD$CHUNKED\r\n", "2000\r\n$FILLER\r\n"), ""),
+            Case("tiny chunks", endless("$HEAD$CHUNKED\r\n", TINY_CHUNK.repeat(1_000)), ""),
+            Case("until the connection is closed", endless("$HEAD\r\n", FILLER), ""),
+        )
+
         /** Sends [start] and then [block] on a thread that ends when the receiver closes the connection. */
         fun sendEndlessly(port: Int, start: String, block: String): Thread =
             thread(isDaemon = true) {
@@ -165,6 +200,11 @@
                 endless("${HEAD}x-id: 9\r\n$CHUNKED\r\n", "2000\r\n$FILLER\r\n"),
                 "504 unknown",
             ),
+            Case(
+                "a response to another request, with tiny chunks without end",
+                endless("${HEAD}x-id: 9\r\n$CHUNKED\r\n", TINY_CHUNK.repeat(1_000)),
+                "504 unknown",
+            ),
             Case(
                 "a refusal of the upstream with a body without end",
                 endless("HTTP/1.1 503 Full\r\nx-not-run: full\r\n$CHUNKED\r\n", "2000\r\n$FILLER\r\n"),
