Wait for all requests of a planned stop and refuse those that would outlast it

Cause: the handler of the signal was installed after the start; admission didn't know the end of the grace; leave and exit had one deadline, a second before it; a request that was being received didn't count; "calls finished" was reported once and for good.

Change: the handler is installed first; a call whose deadline or total timeout is later than the exit is refused as not run at both hops; the exit waits for requests, counted from their first byte, until 0.5 s before the end of the grace. chaos/planned-stop plays four kinds of stop with real processes and bookings.

--- a/app/src/main/kotlin/boragelever/app/ServiceCommands.kt
+++ b/app/src/main/kotlin/boragelever/app/ServiceCommands.kt
@@ -23,12 +23,13 @@
         HttpPlatform(command.platform).use { platform ->
             val folder = command.folder.open(platform)
             val node = Node(command.settings, platform, folder, platform.withSeparateRateLimit())
-            node.start()
-            SettingsWatcher({ readReloadableSettings(arguments) }, node::reload).start()
+            // Before the start, because a node serves its first calls before the start has returned.
             Termination.onSignal {
                 node.stop()
                 node.awaitExit()
             }
+            node.start()
+            SettingsWatcher({ readReloadableSettings(arguments) }, node::reload).start()
             node.awaitExit()
         }
         successOutcome("")
--- a/core/src/main/kotlin/boragelever/core/call/Admission.kt
+++ b/core/src/main/kotlin/boragelever/core/call/Admission.kt
@@ -52,7 +52,7 @@
     val plan = createPlan(request, route, service, fingerprint, arrivedMillis ?: event.context.nowMillis)
         .copy(trialInstance = trialInstance)
     val planned = copy(plan = plan)
-    val refusal = refusalFor(planned, plan, decision, event.context.nowMillis)
+    val refusal = refusalFor(planned, plan, snapshot, decision, event.context.nowMillis)
     return when {
         refusal != null -> planned.refuse(refusal)
         !snapshot.canRoute(service.name) -> planned.awaitRouting(event, service.name, noEndpoint)
@@ -105,12 +105,15 @@
 private fun refusalFor(
     state: CallState.FirstHop,
     plan: CallPlan,
+    snapshot: RoutingSnapshot,
     decision: QuarantineDecision,
     nowMillis: Long,
 ): Refusal? {
     val isKeyMissing = plan.route.config.idempotency.requireKey && !plan.idempotent && state.request.key == null
     return when {
         plan.deadlineMillis <= nowMillis -> notRunRefusal(GATEWAY_TIMEOUT, RefusalReason.DEADLINE)
+        maxOf(plan.deadlineMillis, plan.endMillis ?: 0) > (snapshot.exitMillis ?: Long.MAX_VALUE) ->
+            notRunRefusal(UNAVAILABLE, RefusalReason.NODE_STOPPING)
         plan.maxAttempts < 1 -> notRunRefusal(UNAVAILABLE, RefusalReason.BUDGET_SPENT)
         isKeyMissing -> notRunRefusal(BAD_REQUEST, RefusalReason.KEY_REQUIRED)
         decision == QuarantineDecision.Refuse -> notRunRefusal(UNAVAILABLE, RefusalReason.QUARANTINED)
--- a/core/src/main/kotlin/boragelever/core/call/LastHopReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/call/LastHopReducer.kt
@@ -54,7 +54,7 @@
     val snapshot = event.snapshot
     val nowMillis = event.context.nowMillis
     val upstream = snapshot?.localUpstreams?.get(state.request.instance)
-    val remainingMillis = state.request.remainingMillis ?: DEFAULT_DEADLINE_MILLIS
+    val remainingMillis = state.request.millisLeft
     val reason =
         if (remainingMillis > 0) refusalReason(state.request, snapshot, upstream, nowMillis) else RefusalReason.DEADLINE
     if (snapshot == null || upstream == null || reason != null) {
@@ -87,7 +87,8 @@
 ): RefusalReason? {
     return when {
         snapshot == null -> RefusalReason.NO_CONFIGURATION
-        snapshot.draining -> RefusalReason.NODE_STOPPING
+        snapshot.draining || nowMillis + request.millisLeft > (snapshot.exitMillis ?: Long.MAX_VALUE) ->
+            RefusalReason.NODE_STOPPING
         upstream == null -> RefusalReason.UNKNOWN_INSTANCE
         upstream.state != UpstreamState.SERVING -> RefusalReason.NOT_SERVING
         !mayRun(quarantineDecision(request, snapshot, upstream, nowMillis), upstream) -> RefusalReason.QUARANTINED
@@ -111,6 +112,8 @@
         is QuarantineDecision.Try -> decision.instance == upstream.instance
     }
 
+private val LastHopRequest.millisLeft: Long get() = remainingMillis ?: DEFAULT_DEADLINE_MILLIS
+
 private fun queueConfigOf(snapshot: RoutingSnapshot, service: ServiceName): QueueConfig =
     snapshot.services[service]?.config?.queue ?: QueueConfig()
 
--- a/core/src/main/kotlin/boragelever/core/control/ControlState.kt
+++ b/core/src/main/kotlin/boragelever/core/control/ControlState.kt
@@ -101,6 +101,8 @@
         public val leaveAnnouncedMillis: Long? = null,
         /** True once callers had time to see that the node is not ready; new calls are refused from then on. */
         public val refusesCalls: Boolean = false,
+        /** Monotonic time at which the process exits even with calls in flight, or `null` if it waits for them. */
+        public val exitMillis: Long? = null,
     ) : LifecycleState
 }
 
--- a/core/src/main/kotlin/boragelever/core/control/Event.kt
+++ b/core/src/main/kotlin/boragelever/core/control/Event.kt
@@ -103,8 +103,11 @@
     /** The process was asked to stop. */
     public data class StopRequested(override val context: EventContext) : Event
 
-    /** No call is in flight any longer. */
+    /** No request is being received or handled any longer. */
     public data class CallsFinished(override val context: EventContext) : Event
+
+    /** A request arrived after [CallsFinished]. */
+    public data class CallsResumed(override val context: EventContext) : Event
 }
 
 /** A request that was running in an upstream when it crashed. */
--- a/core/src/main/kotlin/boragelever/core/control/LifecycleReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/LifecycleReducer.kt
@@ -15,8 +15,11 @@
 /** Time between the announcement of the leave and the exit, in which the broadcast is retransmitted if necessary. */
 private const val LEAVE_BROADCAST_MILLIS = 300L
 
-/** Part of the stop grace that is reserved for the announcement of the leave and the exit. */
-private const val EXIT_RESERVE_MILLIS = 1_000L
+/** Part of the stop grace in which the node has announced its leave, with or without calls in flight. */
+private const val LEAVE_RESERVE_MILLIS = 1_000L
+
+/** Part of the stop grace that is reserved for the exit itself; calls may use the rest. */
+private const val EXIT_RESERVE_MILLIS = 500L
 
 internal fun reduceLifecycle(state: ControlState, event: Event): Transition {
     val current = if (state.pausedMillis == null) state else state.copy(pausedMillis = null)
@@ -25,7 +28,8 @@
         is Event.Ticked -> current.tickLifecycle(event.context.nowMillis)
         is Event.StopRequested -> current.stopRequested(event.context.nowMillis)
         is Event.SettingsChanged -> current.settingsChanged(event.settings)
-        is Event.CallsFinished -> current.callsFinished()
+        is Event.CallsFinished -> current.updateDraining { copy(callsFinished = true) }
+        is Event.CallsResumed -> current.updateDraining { copy(callsFinished = false) }
         else -> current.withoutEffects()
     }
 }
@@ -36,12 +40,17 @@
     val next = copy(lastTickMillis = nowMillis, pausedMillis = pausedMillis)
         .refuseCallsIfDue(nowMillis)
         .announceLeaveIfDrained(nowMillis)
-    val leaveAnnouncedMillis = (next.lifecycle as? LifecycleState.Draining)?.leaveAnnouncedMillis
-    val canExit = leaveAnnouncedMillis != null && nowMillis - leaveAnnouncedMillis >= LEAVE_BROADCAST_MILLIS
+    val mayExit = (next.lifecycle as? LifecycleState.Draining)?.mayExit(nowMillis) ?: false
     return next
         .withoutEffects()
         .andThenIf(pausedMillis != null) { it.with(report(Notice.ProcessResumed(gapMillis))) }
-        .andThenIf(canExit) { it.with(Effect.Exit) }
+        .andThenIf(mayExit) { it.with(Effect.Exit) }
+}
+
+/** True once the leave is known to the peers, and the calls have finished or have no time left. */
+private fun LifecycleState.Draining.mayExit(nowMillis: Long): Boolean {
+    val isLeaveKnown = leaveAnnouncedMillis != null && nowMillis - leaveAnnouncedMillis >= LEAVE_BROADCAST_MILLIS
+    return isLeaveKnown && (callsFinished || exitMillis == null || nowMillis >= exitMillis)
 }
 
 private fun ControlState.refuseCallsIfDue(nowMillis: Long): ControlState {
@@ -59,7 +68,10 @@
 private fun ControlState.stopRequested(nowMillis: Long): Transition =
     when (lifecycle) {
         is LifecycleState.Draining -> withoutEffects()
-        else -> copy(lifecycle = LifecycleState.Draining(nowMillis)).with(report(Notice.Draining))
+        else -> {
+            val exitMillis = identity.reloadable.stopGraceMillis?.let { nowMillis + it - EXIT_RESERVE_MILLIS }
+            copy(lifecycle = LifecycleState.Draining(nowMillis, exitMillis = exitMillis)).with(report(Notice.Draining))
+        }
     }
 
 private fun ControlState.settingsChanged(settings: ReloadableSettings): Transition {
@@ -67,16 +79,18 @@
     return copy(identity = identity.copy(reloadable = settings)).with(report(Notice.SettingsChanged(settings)))
 }
 
-private fun ControlState.callsFinished(): Transition =
+private inline fun ControlState.updateDraining(
+    change: LifecycleState.Draining.() -> LifecycleState.Draining,
+): Transition =
     when (val current = lifecycle) {
-        is LifecycleState.Draining -> copy(lifecycle = current.copy(callsFinished = true)).withoutEffects()
+        is LifecycleState.Draining -> copy(lifecycle = current.change()).withoutEffects()
         else -> withoutEffects()
     }
 
 private fun ControlState.isDrained(draining: LifecycleState.Draining, nowMillis: Long): Boolean {
     val elapsedMillis = nowMillis - draining.sinceMillis
     val services = applied?.configuration?.services?.values.orEmpty()
-    val maxDrainMillis = identity.reloadable.stopGraceMillis?.let { it - EXIT_RESERVE_MILLIS }
+    val maxDrainMillis = identity.reloadable.stopGraceMillis?.let { it - LEAVE_RESERVE_MILLIS }
         ?: (services.map { it.drainMillis } + ServiceConfig().drainMillis).max()
     return elapsedMillis >= maxDrainMillis || (draining.callsFinished && elapsedMillis >= MIN_DRAIN_MILLIS)
 }
--- a/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
+++ b/core/src/main/kotlin/boragelever/core/control/SnapshotReducer.kt
@@ -72,6 +72,7 @@
         localUpstreams = membership.localRecord?.upstreams.orEmpty().associateBy { it.instance },
         quarantined = quarantine.quarantined,
         draining = (lifecycle as? LifecycleState.Draining)?.refusesCalls == true,
+        exitMillis = (lifecycle as? LifecycleState.Draining)?.exitMillis,
         retrySlack = retrySlack(),
         retryPercent = identity.reloadable.sharedRetryRatio?.let { (it * PERCENT * DIRECT_RETRY_SHARE).toInt() },
         callingService = identity.reloadable.callingService,
--- a/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
+++ b/core/src/main/kotlin/boragelever/core/routing/RoutingSnapshot.kt
@@ -34,6 +34,8 @@
     public val quarantined: Map<Fingerprint, Quarantine> = emptyMap(),
     /** True while the node is shutting down and accepts no new calls. */
     public val draining: Boolean = false,
+    /** Monotonic time at which the process exits, once it was asked to stop, or `null` if it waits for its calls. */
+    public val exitMillis: Long? = null,
     /** Retries to each service that this node may make in addition to the percentage of calls. */
     public val retrySlack: Int = DEFAULT_RETRY_SLACK,
     /** Retries as a percentage of the calls to a service, or `null` to use the budget of each route. */
--- a/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
@@ -176,6 +176,12 @@
             the last hop admits one trial |
               HOP | arrived-for-trial other-trial | AcquireSlot for trial 1, 503 not-run quarantined
             the last hop refuses a trial that is not due | HOP | arrived-before-trial | 503 not-run quarantined
+            a call whose deadline is after the exit of the process is refused |
+              POST | arrived-shortly-before-exit | 503 not-run node-stopping
+            a call whose deadline is before the exit of the process is sent |
+              POST | arrived-in-time-before-exit a response ended | @SENT, forward 1
+            the last hop refuses a call whose deadline is after its exit |
+              HOP | arrived-shortly-before-exit-of-hop | 503 not-run node-stopping
             a shed call is reported as not run | HOP | arrived no-slot | AcquireSlot, 503 not-run shed
             an expired call is not dispatched | HOP | arrived late-slot | AcquireSlot, ReleaseSlot, 504 not-run deadline
             a refused connection is reported as not run |
--- a/core/src/test/kotlin/boragelever/core/control/NodeConcernsTest.kt
+++ b/core/src/test/kotlin/boragelever/core/control/NodeConcernsTest.kt
@@ -32,7 +32,7 @@
     }
 
     @ParameterizedTest
-    @MethodSource("quarantine", "upstreams", "shutdown", "rows", "snapshots")
+    @MethodSource("quarantine", "upstreams", "shutdown", "stopGrace", "rows", "snapshots")
     internal fun `the node reaches the expected state`(case: Case) {
         assertEquals(case.expected, case.steps(ReducerDriver().apply(1, configuration())))
     }
@@ -66,6 +66,10 @@
         fun ReducerDriver.endpoints(): Int =
             checkNotNull(state.snapshot).services.getValue(ServiceName("s")).endpoints.size
 
+        fun ReducerDriver.stopWithGrace(): ReducerDriver =
+            step { Event.SettingsChanged(it, ReloadableSettings(stopGraceMillis = 6_000)) }
+                .step { Event.StopRequested(it) }
+
         fun ReducerDriver.exits(): Boolean = Effect.Exit in effects
 
         @JvmStatic
@@ -176,6 +180,34 @@
                 },
             )
 
+        @JvmStatic
+        fun stopGrace(): List<Case> =
+            listOf(
+                Case("the node waits for its calls until shortly before the end of the stop grace", false) {
+                    stopWithGrace().tick(5_400).exits()
+                },
+                Case("the node exits shortly before the end of the stop grace", true) {
+                    stopWithGrace().tick(5_500).exits()
+                },
+                Case("a call that arrives after the others have finished is waited for", false) {
+                    stopWithGrace().step { Event.CallsFinished(it) }.tick(2_100)
+                    step { Event.CallsResumed(it) }.tick(3_000).exits()
+                },
+                Case("the node exits when that call has finished", true) {
+                    stopWithGrace().step { Event.CallsFinished(it) }.tick(2_100)
+                    step { Event.CallsResumed(it) }.tick(1_000)
+                    step { Event.CallsFinished(it) }.tick(100).exits()
+                },
+                Case("calls learn when the process exits", 5_500L) {
+                    stopWithGrace()
+                    checkNotNull(state.snapshot).exitMillis
+                },
+                Case("a second stop request changes nothing", 5_500L) {
+                    stopWithGrace().tick(1_000).step { Event.StopRequested(it) }
+                    checkNotNull(state.snapshot).exitMillis
+                },
+            )
+
         @JvmStatic
         fun rows(): List<Case> {
             val old = 1_000_000_000L - MEMBER_ROW_EXPIRY_MILLIS
--- a/node/src/main/kotlin/boragelever/node/Node.kt
+++ b/node/src/main/kotlin/boragelever/node/Node.kt
@@ -48,6 +48,9 @@
 private const val CONTROL_IO_THREADS = 2
 
 private const val DRAIN_POLL_MILLIS = 50L
+
+/** Polls in a row without an unfinished request after which the calls count as finished; two may have a gap between. */
+private const val MIN_IDLE_POLLS = 2
 private const val MILLIS_PER_SECOND = 1_000L
 
 /**
@@ -106,6 +109,10 @@
         )
     private val admin = AdminServer(settings.adminHost, settings.adminPort, NodeAdminBackend())
     private val stopRequested = AtomicBoolean()
+    private val isDraining = AtomicBoolean()
+
+    @Volatile
+    private var isStarted = false
     private val closed = AtomicBoolean()
     private val exited = CountDownLatch(1)
 
@@ -143,6 +150,8 @@
         control.start()
         transport.start()
         log.info { "[node] ${settings.node} started: proxy ${addresses.proxy}, admin ${addresses.admin}" }
+        isStarted = true
+        if (stopRequested.get()) drain()
     }
 
     private fun bindPorts() {
@@ -167,14 +176,35 @@
         }
     }
 
-    /** Starts a graceful stop without waiting: the node refuses new calls, completes those in flight and exits. */
+    /**
+     * Starts a graceful stop without waiting: the node refuses new calls, completes those in flight and exits. A node
+     * that is being started stops as soon as it has started.
+     */
     public fun stop() {
-        if (!stopRequested.compareAndSet(false, true)) return
+        stopRequested.set(true)
+        if (isStarted) drain()
+    }
+
+    private fun drain() {
+        if (!isDraining.compareAndSet(false, true)) return
         control.submitFrom(scope) { Event.StopRequested(it) }
         proxy.beginDrain()
-        scope.launch {
-            while (snapshots.get()?.draining == false || proxy.callsInFlight > 0) delay(DRAIN_POLL_MILLIS)
-            control.submit { Event.CallsFinished(it) }
+        scope.launch { reportUnfinishedRequests() }
+    }
+
+    /** Reports whether requests are unfinished until the node exits, since new ones may still arrive meanwhile. */
+    private suspend fun reportUnfinishedRequests() {
+        var idlePolls = 0
+        var isReportedIdle = false
+        while (true) {
+            val isIdle = snapshots.get()?.draining != false && proxy.unfinishedRequests == 0
+            idlePolls = if (isIdle) idlePolls + 1 else 0
+            val isFinished = idlePolls >= MIN_IDLE_POLLS
+            if (isFinished != isReportedIdle) {
+                isReportedIdle = isFinished
+                control.submit { if (isFinished) Event.CallsFinished(it) else Event.CallsResumed(it) }
+            }
+            delay(DRAIN_POLL_MILLIS)
         }
     }
 
--- a/node/src/main/kotlin/boragelever/node/proxy/CompletedRequests.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/CompletedRequests.kt
@@ -13,7 +13,7 @@
 /**
  * The requests that local upstreams have completed recently: evidence that they crash no upstream.
  *
- * Two generations of entries replace an expiry of each entry. A request that completes often is always in the newer one.
+ * Two generations of entries replace an expiry of each entry. A request that completes often is in the newer one.
  *
  * @param onWatchedCompletion called once for each watched request that has completed or completes.
  */
--- a/node/src/main/kotlin/boragelever/node/proxy/LocalUpstreams.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/LocalUpstreams.kt
@@ -65,7 +65,7 @@
     /**
      * Reports the crash of an upstream with the calls that were running in it.
      *
-     * All of them fail at about the same time. Each request is listed in one report only, so that one crash counts once.
+     * All of them fail at about the same time. Each request is listed in one report, so that one crash counts once.
      */
     fun reportCrash(instance: InstanceId) {
         val entry = entries[instance] ?: return
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxyConnection.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyConnection.kt
@@ -25,7 +25,7 @@
     suspend fun run() {
         try {
             var open = true
-            while (open) open = awaitRequest() && serveRequest()
+            while (open) open = awaitRequest() && serveCountedRequest()
         } catch (malformed: MalformedMessage) {
             refuse(malformed)
         } catch (closed: IOException) {
@@ -45,6 +45,16 @@
         return input.awaitByte()
     }
 
+    /** Counts the request from its first byte, so that a stopping node doesn't exit while it is being received. */
+    private suspend fun serveCountedRequest(): Boolean {
+        context.unfinishedRequests.incrementAndGet()
+        try {
+            return serveRequest()
+        } finally {
+            context.unfinishedRequests.decrementAndGet()
+        }
+    }
+
     /** Handles one call; returns true if the connection can be used for another one. */
     private suspend fun serveRequest(): Boolean {
         val limits = context.snapshots.current()?.limits ?: LimitsConfig()
--- a/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/ProxyServer.kt
@@ -32,13 +32,16 @@
     /** Number of calls in flight on both ports. */
     public val callsInFlight: Int
 
+    /** Number of requests on both ports that are being received or handled. */
+    public val unfinishedRequests: Int
+
     /** Opens the ports and starts to serve; throws [IOException] if a port cannot be bound. */
     public suspend fun start(): ProxyPorts
 
     /** Sends `Connection: close` with each response from now on. The snapshot decides whether calls are refused. */
     public fun beginDrain()
 
-    /** Replaces the requests whose completion by a local upstream is observed; recent completions are observed at once. */
+    /** Replaces the requests whose completion by a local upstream is observed; a recent one is observed at once. */
     public fun watchCompletions(fingerprints: Set<Fingerprint>)
 
     /** Closes all connections, with or without calls in flight, and the ports. */
@@ -93,6 +96,8 @@
 
     override val callsInFlight: Int get() = shared.inFlight.values.sumOf { it.get() }
 
+    override val unfinishedRequests: Int get() = shared.unfinishedRequests.get()
+
     override suspend fun start(): ProxyPorts {
         val proxy = openListener(settings.proxyPort)
         val hop = openListener(settings.hopPort)
--- a/node/src/main/kotlin/boragelever/node/proxy/TrafficContext.kt
+++ b/node/src/main/kotlin/boragelever/node/proxy/TrafficContext.kt
@@ -22,6 +22,9 @@
     /** Number of calls in flight for each hop. */
     val inFlight: Map<HopKind, AtomicInteger> = HopKind.entries.associateWith { AtomicInteger() }
 
+    /** Number of requests on both ports from their first byte to the end of their response. */
+    val unfinishedRequests = AtomicInteger()
+
     /** True once [ProxyServer.beginDrain] was called. */
     @Volatile
     var draining = false
@@ -46,6 +49,7 @@
     val retryBudgets: RetryBudgets get() = shared.retryBudgets
     val responseSizes: ResponseSizes get() = shared.responseSizes
     val inFlight: Map<HopKind, AtomicInteger> get() = shared.inFlight
+    val unfinishedRequests: AtomicInteger get() = shared.unfinishedRequests
     val draining: Boolean get() = shared.draining
     val client = ExchangeClient(pool, settings)
 }
--- a/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/Fakes.kt
@@ -295,6 +295,7 @@
     val proxyPort get() = ports.proxy
     val hopPort get() = ports.hop
     val callsInFlight get() = server.callsInFlight
+    val unfinishedRequests get() = server.unfinishedRequests
 
     init {
         val endpoints = records.mapIndexed { index, record -> endpoint(record, index) }
--- a/node/src/test/kotlin/boragelever/node/proxy/ProxySessionTest.kt
+++ b/node/src/test/kotlin/boragelever/node/proxy/ProxySessionTest.kt
@@ -111,6 +111,15 @@
                 val limited = GET.replace("Host: h", "Host: h\r\nboragelever-deadline-ms: 300")
                 assertEquals("503 not-run", outcomeOf(rawCall(mesh.proxyPort, limited)))
             },
+            Session("a request counts as unfinished from its first byte to the end of its response") { mesh, _ ->
+                openCall(mesh.proxyPort, "GET /x HTTP/1.1\r\nHost:").use { call ->
+                    awaitUntil { mesh.unfinishedRequests == 1 }
+                    assertEquals(0, mesh.callsInFlight)
+                    call.getOutputStream().write(" h\r\n\r\n".encodeToByteArray())
+                    assertEquals("200 completed", outcomeOf(readMessage(call).orEmpty()))
+                    awaitUntil { mesh.unfinishedRequests == 0 }
+                }
+            },
             Session("a slow sender is refused with status 408") { mesh, upstream ->
                 assertEquals("408 not-run", outcomeOf(rawCall(mesh.proxyPort, "GET /x HTTP/1.1\r\nHost:")))
                 val head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo"
