Let the caller's deadline bound a call that a stopping node takes

Cause: a stopping node refused a call whose route has a total timeout later than the exit, although its caller leaves long before.

Change: the deadline of the caller and the total timeout of the route both bound the end of the call; without either, the deadline of the route does.

--- a/core/src/main/kotlin/boragelever/core/call/Admission.kt
+++ b/core/src/main/kotlin/boragelever/core/call/Admission.kt
@@ -112,7 +112,7 @@
     val isKeyMissing = plan.route.config.idempotency.requireKey && !plan.idempotent && state.request.key == null
     return when {
         plan.deadlineMillis <= nowMillis -> notRunRefusal(GATEWAY_TIMEOUT, RefusalReason.DEADLINE)
-        maxOf(plan.deadlineMillis, plan.endMillis ?: 0) > (snapshot.exitMillis ?: Long.MAX_VALUE) ->
+        state.lastMillis(plan, nowMillis) > (snapshot.exitMillis ?: Long.MAX_VALUE) ->
             notRunRefusal(UNAVAILABLE, RefusalReason.NODE_STOPPING)
         plan.maxAttempts < 1 -> notRunRefusal(UNAVAILABLE, RefusalReason.BUDGET_SPENT)
         isKeyMissing -> notRunRefusal(BAD_REQUEST, RefusalReason.KEY_REQUIRED)
@@ -121,6 +121,12 @@
     }
 }
 
+/** Latest time at which the call ends: no caller waits beyond its own deadline, even for a response in progress. */
+private fun CallState.FirstHop.lastMillis(plan: CallPlan, nowMillis: Long): Long {
+    val callerMillis = request.remainingMillis?.let { nowMillis + it }
+    return listOfNotNull(callerMillis, plan.endMillis).minOrNull() ?: plan.deadlineMillis
+}
+
 private fun CallState.FirstHop.claimOrSelect(plan: CallPlan): CallTransition {
     val deadline = CallEffect.SetDeadline(plan.deadlineMillis)
     val key = request.key
--- a/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallReducerTest.kt
@@ -4,6 +4,7 @@
 import boragelever.core.call.CallScript.EXPIRED
 import boragelever.core.call.CallScript.GET
 import boragelever.core.call.CallScript.HOP
+import boragelever.core.call.CallScript.HURRIED
 import boragelever.core.call.CallScript.KEYED
 import boragelever.core.call.CallScript.POST
 import boragelever.core.call.CallScript.SPENT
@@ -47,6 +48,7 @@
             "GET" to GET,
             "SPENT" to SPENT,
             "EXPIRED" to EXPIRED,
+            "HURRIED" to HURRIED,
             "POST" to POST,
             "KEYED" to KEYED,
             "UPLOAD" to UPLOAD,
@@ -180,6 +182,10 @@
               POST | arrived-shortly-before-exit | 503 not-run node-stopping
             a call whose deadline is before the exit of the process is sent |
               POST | arrived-in-time-before-exit a response ended | @SENT, forward 1
+            a call whose response may last until after the exit of the process is refused |
+              GET | arrived-limited-shortly-before-exit | 503 not-run node-stopping
+            a call whose caller leaves before the exit of the process is sent |
+              HURRIED | arrived-limited-shortly-before-exit a response ended | @SENT, forward 1
             the last hop refuses a call whose deadline is after its exit |
               HOP | arrived-shortly-before-exit-of-hop | 503 not-run node-stopping
             a shed call is reported as not run | HOP | arrived no-slot | AcquireSlot, 503 not-run shed
--- a/core/src/test/kotlin/boragelever/core/call/CallScript.kt
+++ b/core/src/test/kotlin/boragelever/core/call/CallScript.kt
@@ -43,6 +43,7 @@
         SNAPSHOT.copy(services = mapOf(SERVICE to CompiledService(SERVICE, ServiceConfig(), emptyList())))
     val GET = CallState.FirstHop(CallRequest("GET", "/scan"))
     val SPENT = CallState.FirstHop(CallRequest("GET", "/scan", attemptsLeft = 0))
+    val HURRIED = CallState.FirstHop(CallRequest("GET", "/scan", remainingMillis = 500))
     val EXPIRED = CallState.FirstHop(CallRequest("GET", "/scan", remainingMillis = 0))
     val POST = CallState.FirstHop(CallRequest("POST", "/book"))
     val KEYED = CallState.FirstHop(CallRequest("POST", "/book", key = IdempotencyKey("k")))
@@ -116,6 +117,9 @@
         "arrived-stopping" to arrived(SNAPSHOT.copy(draining = true)),
         "arrived-shortly-before-exit" to arrived(SNAPSHOT.copy(exitMillis = 999)),
         "arrived-shortly-before-exit-of-hop" to arrived(SNAPSHOT.copy(exitMillis = 499)),
+        "arrived-limited-shortly-before-exit" to arrived(
+            snapshot(ROUTE.copy(timeoutMillis = 500, totalTimeoutMillis = 1_000)).copy(exitMillis = 999),
+        ),
         "arrived-in-time-before-exit" to arrived(SNAPSHOT.copy(exitMillis = 1_000)),
         "arrived-at-limit" to arrived(SNAPSHOT, inFlight = 11),
         "arrived-unmatched" to arrived(snapshot(ROUTE.copy(pathPrefix = "/sc"))),
